--- /dev/null
+++ b/crates/core/src/api.rs
@@ -0,0 +1,654 @@
+//! What users ask: submissions, polls, aborts, readiness; and how those are passed
+//! to the leader or decided without it.
+//!
+//! A state that can still change is told only after a fresh read of the state
+//! service; an end never changes and may be told from memory.
+
+use quartzgate_wire::http::{Request, Response};
+use quartzgate_wire::msg::{
+    valid_job_id, Change, Forward, Guard, JobAnswer, JobSpec, JobStatus, MachineTypes, Pair, Shape,
+    Transaction, TransactionAnswer,
+};
+use quartzgate_wire::{from_cbor, to_cbor};
+
+use crate::controller::{Controller, Pending, UserWork};
+use crate::ids::JobIx;
+use crate::jobs::JobState;
+use crate::records::{
+    decode, encode, inbox_key, job_key, share_key, JobRecord, RecordedStatus, INBOX,
+};
+use crate::{Outcome, Peer, RequestId};
+
+/// Why a well-formed job can never run.
+pub(crate) enum Verdict {
+    Fits,
+    Never(&'static str),
+    /// The machine types are not known yet.
+    Unknown,
+}
+
+impl Controller {
+    pub(crate) fn on_client(&mut self, id: RequestId, request: Request) {
+        let path = request.target.split('?').next().unwrap_or("");
+        match (request.method.as_str(), path) {
+            ("POST", "/checkin") => self.on_checkin(id, &request.body),
+            ("GET", "/ready") => {
+                if self.ready() {
+                    self.answer(id, Response::new(200, Vec::new()))
+                } else {
+                    self.answer_busy(id)
+                }
+            }
+            (_, "/checkin" | "/ready") => self.answer_error(id, 405, "method not allowed"),
+            (method, path) => {
+                let (method, path) = (method.to_string(), path.to_string());
+                self.on_user(id, &method, &path, request.body, false)
+            }
+        }
+    }
+
+    /// A user's request, from the user or passed on by a sibling.
+    pub(crate) fn on_user(
+        &mut self,
+        id: RequestId,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+        passed_on: bool,
+    ) {
+        let Some(rest) = path.strip_prefix("/api/jobs") else {
+            return self.answer_error(id, 404, "no such path");
+        };
+        let parts: Vec<&str> = rest.split('/').skip(1).collect();
+        let work = match (method, rest.is_empty(), parts.as_slice()) {
+            ("POST", true, _) => match parse_job(&body) {
+                Ok(spec) => UserWork::Submit(Box::new(spec), body),
+                Err(why) => return self.answer_error(id, 400, &why),
+            },
+            (_, true, _) => return self.answer_error(id, 405, "method not allowed"),
+            ("GET", _, [job]) | ("POST", _, [job, "abort"]) => {
+                if !valid_job_id(job) {
+                    return self.answer_error(id, 400, "malformed ref");
+                }
+                match parts.len() {
+                    1 => UserWork::Poll(job.to_string()),
+                    _ => UserWork::Abort(job.to_string()),
+                }
+            }
+            (_, _, [_] | [_, "abort"]) => return self.answer_error(id, 405, "method not allowed"),
+            _ => return self.answer_error(id, 404, "no such path"),
+        };
+        if let Some(status) = self.finals.get(work.id()) {
+            return self.answer_final(id, work.id(), status);
+        }
+        if self.leads() {
+            return self.decide(id, work);
+        }
+        let target = if passed_on { None } else { self.leader_sibling() };
+        match target {
+            Some(at) => self.pass_on(id, at, work),
+            None => self.decide_alone(id, work, passed_on),
+        }
+    }
+
+    fn pass_on(&mut self, id: RequestId, at: usize, work: UserWork) {
+        let mut message = self.mesh_message();
+        let (method, path, body) = match &work {
+            UserWork::Submit(_, body) => ("POST", "/api/jobs".to_string(), body.clone()),
+            UserWork::Poll(job) => ("GET", format!("/api/jobs/{job}"), Vec::new()),
+            UserWork::Abort(job) => ("POST", format!("/api/jobs/{job}/abort"), Vec::new()),
+        };
+        message.forward = Some(Forward { method: method.into(), path, body });
+        let body = to_cbor(&message);
+        let timeout = self.cfg.mesh_timeout_ms();
+        let pending = Pending::Forward { request: id, sibling: at, work: Box::new(work) };
+        self.call(Peer::Sibling(at), "POST", "/mesh".into(), body, timeout, pending);
+    }
+
+    pub(crate) fn on_forwarded(
+        &mut self,
+        id: RequestId,
+        sibling: usize,
+        work: UserWork,
+        outcome: Outcome,
+    ) {
+        match outcome {
+            Outcome::Answer(r) if matches!(r.status, 200 | 201 | 404 | 422) => {
+                if let Ok(a) = from_cbor::<JobAnswer>(&r.body) {
+                    match a.status {
+                        JobStatus::Done => self.finals.insert(a.id, RecordedStatus::Done),
+                        JobStatus::Aborted => self.finals.insert(a.id, RecordedStatus::Aborted),
+                        _ => {}
+                    }
+                }
+                let mut response = Response::new(r.status, r.body);
+                response.retry_after_s = r.retry_after_s;
+                self.answer(id, response);
+            }
+            // The sibling could not decide, or was not reached: the records can.
+            Outcome::Answer(_) | Outcome::Lost | Outcome::NotSent => {
+                tracing::debug!(sibling, "request passed on was not answered");
+                self.decide_alone(id, work, true)
+            }
+        }
+    }
+
+    /// Without the leader: by the state service alone.
+    fn decide_alone(&mut self, id: RequestId, work: UserWork, last: bool) {
+        if !self.has_state() {
+            // A sibling that still has the state service can do it.
+            if let (false, Some(at)) = (last, self.sibling_with_state()) {
+                return self.pass_on(id, at, work);
+            }
+            return self.answer_busy(id);
+        }
+        match work {
+            UserWork::Submit(spec, _) => self.submit_alone(id, *spec),
+            UserWork::Poll(job) => self.poll(id, job),
+            UserWork::Abort(job) => {
+                self.read_job(id, &job, Pending::AbortRead { request: id, id: job.clone() })
+            }
+        }
+    }
+
+    fn submit_alone(&mut self, id: RequestId, spec: JobSpec) {
+        let now = self.now.steady_ms;
+        match self.verdict(&spec) {
+            Verdict::Fits => {}
+            // A known job is never refused: what stands decides.
+            Verdict::Never(_) | Verdict::Unknown => {
+                let job = spec.id.clone();
+                let pending = Pending::Known { request: id, spec: Box::new(spec) };
+                return self.read_job(id, &job, pending);
+            }
+        }
+        if !self.store.writes.take(now, 2.0, 0.0) {
+            return self.answer_busy(id);
+        }
+        let job = spec.id.clone();
+        let record = self.job_record(spec);
+        let body = to_cbor(&Transaction {
+            guards: vec![Guard { path: job_key(&job), stamp: 0 }],
+            apply: vec![
+                Change::Set { set: job_key(&job), value: encode(&record), permit: None },
+                Change::Set { set: inbox_key(&job), value: encode(&false), permit: None },
+            ],
+        });
+        let pending = Pending::AcceptAlone { request: id, id: job };
+        self.state_call("POST", "/multi".into(), body, pending);
+    }
+
+    pub(crate) fn job_record(&self, spec: JobSpec) -> JobRecord {
+        JobRecord {
+            status: RecordedStatus::Live,
+            spec: Some(spec),
+            at_ms: self.now.wall_ms,
+            done_chunks: Vec::new(),
+        }
+    }
+
+    pub(crate) fn on_accept_alone(&mut self, id: RequestId, job: String, outcome: Outcome) {
+        match outcome {
+            Outcome::Answer(r) if r.status == 200 => {
+                self.state_answered();
+                tracing::info!(job = %job, "accepted past the leader");
+                let answer =
+                    JobAnswer { id: job, status: JobStatus::Queued, done: None, running: None };
+                self.answer(id, Response::new(201, to_cbor(&answer)));
+            }
+            Outcome::Answer(r) if r.status == 409 => {
+                self.state_answered();
+                self.read_job(id, &job, Pending::Poll { request: id, id: job.clone() });
+            }
+            Outcome::Answer(r) => {
+                self.state_busy(r.status);
+                self.answer_busy(id)
+            }
+            _ => self.answer_busy(id),
+        }
+    }
+
+    /// The leader decides a user's request.
+    fn decide(&mut self, id: RequestId, work: UserWork) {
+        match work {
+            UserWork::Submit(spec, _) => self.submit(id, *spec),
+            UserWork::Poll(job) => self.poll(id, job),
+            UserWork::Abort(job) => match self.jobs.find(&job) {
+                Some(ix) => self.abort(id, ix),
+                None => {
+                    self.read_job(id, &job, Pending::AbortRead { request: id, id: job.clone() })
+                }
+            },
+        }
+    }
+
+    fn submit(&mut self, id: RequestId, spec: JobSpec) {
+        let now = self.now.steady_ms;
+        if self.jobs.find(&spec.id).is_some() {
+            return self.poll(id, spec.id);
+        }
+        match self.verdict(&spec) {
+            Verdict::Fits => {}
+            Verdict::Never(_) | Verdict::Unknown => {
+                let job = spec.id.clone();
+                let pending = Pending::Known { request: id, spec: Box::new(spec) };
+                return self.read_job(id, &job, pending);
+            }
+        }
+        let Some(team) = self.cfg.team(&spec.team) else { return self.answer_busy(id) };
+        if !self.store.writes.take(now, 1.0, 0.0) {
+            return self.answer_busy(id);
+        }
+        let record = self.job_record(spec.clone());
+        let (key, job_id) = (job_key(&spec.id), spec.id.clone());
+        let job = self.new_job(spec, team, JobState::Recording, 0, record.at_ms);
+        let ix = self.jobs.insert(job);
+        let mut apply =
+            vec![Change::Set { set: key.clone(), value: encode(&record), permit: None }];
+        let mut guards = vec![
+            Guard { path: key, stamp: 0 },
+            Guard { path: crate::records::VIEW.into(), stamp: self.member.view_stamp },
+        ];
+        // The first deal goes with the acceptance if a write for it is left.
+        if self.store.writes.take(now, 1.0, 0.0) {
+            if self.deal_job(ix) {
+                if let Some(share) = self.share_record(ix, 0) {
+                    let path = share_key(&job_id, 0);
+                    apply.push(Change::Set {
+                        set: path.clone(),
+                        value: encode(&share),
+                        permit: None,
+                    });
+                    guards.push(Guard { path, stamp: 0 });
+                    if let Some(c) = self.jobs.get_mut(ix).and_then(|j| j.chunks.get_mut(&0)) {
+                        (c.dirty, c.busy) = (false, true);
+                    }
+                }
+            } else {
+                self.store.writes.force(now, -1.0);
+            }
+        }
+        if let Some(j) = self.jobs.get_mut(ix) {
+            j.busy = true;
+        }
+        let body = to_cbor(&Transaction { guards, apply });
+        let pending = Pending::Accept { request: id, job: ix, epoch: self.epoch() };
+        self.state_call("POST", "/multi".into(), body, pending);
+    }
+
+    pub(crate) fn on_accept(&mut self, id: RequestId, ix: JobIx, outcome: Outcome) {
+        let done = match &outcome {
+            Outcome::Answer(r) if r.status == 200 => from_cbor::<TransactionAnswer>(&r.body).ok(),
+            _ => None,
+        };
+        if let Some(done) = done {
+            self.state_answered();
+            let Some(job) = self.jobs.get_mut(ix) else { return self.answer_busy(id) };
+            job.stamp = done.ledger_rev;
+            job.busy = false;
+            if let Some(c) = job.chunks.get_mut(&0).filter(|c| c.busy) {
+                (c.busy, c.acked, c.stamp) = (false, c.version, done.ledger_rev);
+            }
+            let answer = JobAnswer {
+                id: job.id.clone(),
+                status: JobStatus::Queued,
+                done: None,
+                running: None,
+            };
+            self.job_to(ix, JobState::Live);
+            self.answer(id, Response::new(201, to_cbor(&answer)));
+            self.touch_probed(ix);
+            self.deal_due = true;
+            self.preempt_due = true;
+            return;
+        }
+        // Not recorded as far as we know: memory forgets it. Should the write come to
+        // stand later, the job is found by its next poll, retry, or a takeover.
+        let job_id = self.jobs.get(ix).map(|j| j.id.clone()).unwrap_or_default();
+        self.drop_job(ix);
+        match outcome {
+            Outcome::Answer(r) if r.status == 409 => {
+                self.state_answered();
+                let failed = from_cbor::<TransactionAnswer>(&r.body).map(|a| a.failed);
+                if failed.is_ok_and(|f| f.iter().any(|p| p == crate::records::VIEW)) {
+                    self.superseded();
+                    return self.answer_busy(id);
+                }
+                self.poll(id, job_id)
+            }
+            Outcome::Answer(r) => {
+                self.state_busy(r.status);
+                self.answer_busy(id)
+            }
+            _ => self.answer_busy(id),
+        }
+    }
+
+    /// Answers with a job's state after a fresh read.
+    fn poll(&mut self, id: RequestId, job: String) {
+        self.read_job(id, &job, Pending::Poll { request: id, id: job.clone() });
+    }
+
+    fn read_job(&mut self, id: RequestId, job: &str, pending: Pending) {
+        if !self.may_read() {
+            return self.answer_busy(id);
+        }
+        self.state_call("GET", format!("/keys/{}", job_key(job)), Vec::new(), pending);
+    }
+
+    /// What a read of a job's record says: `Ok(None)` if there is none.
+    pub(crate) fn read_outcome(&mut self, outcome: Outcome) -> Result<Option<Pair>, ()> {
+        match outcome {
+            Outcome::Answer(r) if r.status == 200 => {
+                self.state_answered();
+                from_cbor::<Pair>(&r.body).map(Some).map_err(|_| ())
+            }
+            Outcome::Answer(r) if r.status == 404 => {
+                self.state_answered();
+                Ok(None)
+            }
+            Outcome::Answer(r) => {
+                self.state_busy(r.status);
+                Err(())
+            }
+            _ => Err(()),
+        }
+    }
+
+    pub(crate) fn on_poll_read(&mut self, id: RequestId, job: String, outcome: Outcome) {
+        match self.read_outcome(outcome) {
+            Ok(None) => self.answer_error(id, 404, "no such job"),
+            Ok(Some(pair)) => self.answer_record(id, &job, pair),
+            Err(()) => self.answer_busy(id),
+        }
+    }
+
+    /// Tells what a job's record says, with the counts that the leader knows.
+    fn answer_record(&mut self, id: RequestId, job: &str, pair: Pair) {
+        let Some(record) = decode::<JobRecord>(&pair.value) else {
+            tracing::error!(job, "the job's record can't be read; it is left as it is");
+            return self.answer_busy(id);
+        };
+        match record.status {
+            RecordedStatus::Live => {
+                let known = self.adopt(job, record, pair.stamp);
+                let answer = known.and_then(|ix| self.jobs.get(ix)).map(|j| j.answer());
+                let answer = match answer {
+                    // Ends are told only once they are on record.
+                    Some(a) if matches!(a.status, JobStatus::Queued | JobStatus::Running) => a,
+                    _ => JobAnswer {
+                        id: job.to_string(),
+                        status: JobStatus::Running,
+                        done: None,
+                        running: None,
+                    },
+                };
+                self.answer(id, Response::new(200, to_cbor(&answer)));
+            }
+            ended => {
+                if ended == RecordedStatus::Aborted {
+                    self.learn_abort(job, pair.stamp);
+                }
+                self.finals.insert(job.to_string(), ended);
+                self.answer_final(id, job, ended);
+            }
+        }
+    }
+
+    fn answer_final(&mut self, id: RequestId, job: &str, status: RecordedStatus) {
+        let status = match status {
+            RecordedStatus::Done => JobStatus::Done,
+            _ => JobStatus::Aborted,
+        };
+        let answer = JobAnswer { id: job.to_string(), status, done: None, running: None };
+        self.answer(id, Response::new(200, to_cbor(&answer)));
+    }
+
+    /// A submission that would be refused: refused only if the job is not known.
+    pub(crate) fn on_known(&mut self, id: RequestId, spec: JobSpec, outcome: Outcome) {
+        match self.read_outcome(outcome) {
+            Ok(None) => match self.verdict(&spec) {
+                Verdict::Never(why) => {
+                    tracing::info!(job = %spec.id, why, "refused");
+                    self.answer_error(id, 422, why)
+                }
+                _ => self.answer_busy(id),
+            },
+            Ok(Some(pair)) => self.answer_record(id, &spec.id, pair),
+            Err(()) => self.answer_busy(id),
+        }
+    }
+
+    /// The leader aborts a job that it knows.
+    fn abort(&mut self, id: RequestId, ix: JobIx) {
+        let now = self.now.steady_ms;
+        let Some(job) = self.jobs.get(ix) else { return self.answer_busy(id) };
+        // While its record is being written or looked at, an abort can't be decided.
+        if job.busy || !matches!(job.state, JobState::Live) {
+            return self.answer_busy(id);
+        }
+        if !self.store.writes.take(now, 1.0, 0.0) {
+            return self.answer_busy(id);
+        }
+        let key = job_key(&job.id);
+        let record = JobRecord {
+            status: RecordedStatus::Aborted,
+            spec: Some(job.spec.clone()),
+            at_ms: job.at_ms,
+            done_chunks: job.done_chunks.clone(),
+        };
+        let body = to_cbor(&Transaction {
+            guards: vec![
+                Guard { path: key.clone(), stamp: job.stamp },
+                Guard { path: crate::records::VIEW.into(), stamp: self.member.view_stamp },
+            ],
+            apply: vec![Change::Set { set: key, value: encode(&record), permit: None }],
+        });
+        if let Some(j) = self.jobs.get_mut(ix) {
+            j.busy = true;
+        }
+        self.job_to(ix, JobState::Doubtful);
+        let pending = Pending::AbortWrite { request: id, job: ix, epoch: self.epoch() };
+        self.state_call("POST", "/multi".into(), body, pending);
+    }
+
+    pub(crate) fn on_abort_write(&mut self, id: RequestId, ix: JobIx, outcome: Outcome) {
+        if let Outcome::Answer(r) = &outcome {
+            if let (200, Ok(done)) = (r.status, from_cbor::<TransactionAnswer>(&r.body)) {
+                self.state_answered();
+                let Some(job) = self.jobs.get_mut(ix) else { return self.answer_busy(id) };
+                (job.busy, job.stamp) = (false, done.ledger_rev);
+                let job_id = job.id.clone();
+                self.job_to(ix, JobState::Aborted);
+                self.store.touch_job(ix);
+                return self.answer_final(id, &job_id, RecordedStatus::Aborted);
+            }
+            if r.status != 409 {
+                // Not executed: the job goes on, and the user asks again.
+                if r.status != 503 && r.status != 429 {
+                    tracing::error!(status = r.status, "an abort was refused by the state service");
+                }
+                self.state_busy(r.status);
+                if let Some(j) = self.jobs.get_mut(ix) {
+                    j.busy = false;
+                }
+                self.job_to(ix, JobState::Live);
+                return self.answer_busy(id);
+            }
+        }
+        // Perhaps executed, or the record has changed: it is read before anything else.
+        self.answer_busy(id);
+        self.restamp_job(ix);
+    }
+
+    /// An abort of a job that the leader does not know, or without a leader.
+    pub(crate) fn on_abort_read(&mut self, id: RequestId, job: String, outcome: Outcome) {
+        let pair = match self.read_outcome(outcome) {
+            Ok(Some(pair)) => pair,
+            // Never accepted: nothing is invented for it.
+            Ok(None) => return self.answer_error(id, 404, "no such job"),
+            Err(()) => return self.answer_busy(id),
+        };
+        let Some(mut record) = decode::<JobRecord>(&pair.value) else {
+            tracing::error!(job = %job, "the job's record can't be read; it is left as it is");
+            return self.answer_busy(id);
+        };
+        if record.status != RecordedStatus::Live {
+            return self.answer_record(id, &job, pair);
+        }
+        if self.leads() {
+            return match self.adopt(&job, record, pair.stamp) {
+                Some(ix) => self.abort(id, ix),
+                None => self.answer_busy(id),
+            };
+        }
+        let now = self.now.steady_ms;
+        if !self.store.writes.take(now, 2.0, 0.0) {
+            return self.answer_busy(id);
+        }
+        record.status = RecordedStatus::Aborted;
+        let body = to_cbor(&Transaction {
+            guards: vec![Guard { path: job_key(&job), stamp: pair.stamp }],
+            apply: vec![
+                Change::Set { set: job_key(&job), value: encode(&record), permit: None },
+                Change::Set { set: inbox_key(&job), value: encode(&true), permit: None },
+            ],
+        });
+        let pending = Pending::AbortAlone { request: id, id: job };
+        self.state_call("POST", "/multi".into(), body, pending);
+    }
+
+    pub(crate) fn on_abort_alone(&mut self, id: RequestId, job: String, outcome: Outcome) {
+        match outcome {
+            Outcome::Answer(r) if r.status == 200 => {
+                self.state_answered();
+                tracing::info!(job = %job, "aborted past the leader");
+                self.finals.insert(job.clone(), RecordedStatus::Aborted);
+                self.answer_final(id, &job, RecordedStatus::Aborted)
+            }
+            Outcome::Answer(r) if r.status != 409 => {
+                self.state_busy(r.status);
+                self.answer_busy(id)
+            }
+            _ => self.answer_busy(id),
+        }
+    }
+
+    /// What was recorded past the leader.
+    pub(crate) fn on_inbox(&mut self, path: &str, value: &ciborium::value::Value) {
+        let Some(job) = path.strip_prefix(INBOX).filter(|j| valid_job_id(j)) else { return };
+        let aborted = decode::<bool>(value).unwrap_or(false);
+        self.store.clear_inbox(path.to_string());
+        if aborted {
+            // The abort stands in the same transaction; its stamp is read when needed.
+            if let Some(ix) = self.jobs.find(job) {
+                self.job_to(ix, JobState::Aborted);
+                self.restamp_job(ix);
+            }
+            self.finals.insert(job.to_string(), RecordedStatus::Aborted);
+        } else if self.jobs.find(job).is_none() {
+            let pending = Pending::InboxRead { job: job.to_string(), epoch: self.epoch() };
+            self.state_call("GET", format!("/keys/{}", job_key(job)), Vec::new(), pending);
+        }
+    }
+
+    pub(crate) fn tick_types(&mut self) {
+        let now = self.now.steady_ms;
+        let lag = (self.cfg.platform.params.cloud.list_lag_s * 1000.0) as u64;
+        let every = match self.types_at_ms {
+            None => 500,
+            Some(_) if self.leads() => (lag * 5).max(10_000),
+            Some(_) => (lag * 20).max(60_000),
+        };
+        if self.types_asked_ms == 0 || now >= self.types_asked_ms + every {
+            self.types_asked_ms = now.max(1);
+            let pending = Pending::Types;
+            self.call(Peer::Cloud, "GET", "/machine_types".into(), Vec::new(), 2000, pending);
+        }
+    }
+
+    pub(crate) fn on_types(&mut self, outcome: Outcome) {
+        let Outcome::Answer(r) = outcome else { return };
+        if r.status != 200 {
+            return;
+        }
+        let Ok(list) = from_cbor::<MachineTypes>(&r.body) else { return };
+        let sane = |a: f64| (0.0..1e9).contains(&a);
+        if list.types.is_empty()
+            || !list.types.iter().all(|t| {
+                sane(t.cpus)
+                    && sane(t.gpus)
+                    && sane(t.memory_gb)
+                    && sane(t.price)
+                    && sane(t.spot_price)
+                    && sane(t.boot_s)
+                    && sane(t.fetch_gb_per_s)
+            })
+        {
+            return;
+        }
+        self.types = list.types;
+        self.types_at_ms = Some(self.now.steady_ms);
+        self.supply_changed = true;
+    }
+
+    /// Whether a job can ever run.
+    pub(crate) fn verdict(&self, spec: &JobSpec) -> Verdict {
+        let Some(team) = self.cfg.platform.params.teams.iter().find(|t| t.name == spec.team) else {
+            return Verdict::Never("unknown team");
+        };
+        let counted = if spec.shape == Shape::Array { 1.0 } else { spec.tasks as f64 };
+        let over = |each: f64, limit: f64| limit > 0.0 && each * counted > limit + 1e-6;
+        if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
+            return Verdict::Never("the job needs more than the team's limit");
+        }
+        if self.types_at_ms.is_none() {
+            return Verdict::Unknown;
+        }
+        let fits = self.types.iter().any(|t| {
+            spec.types.as_ref().is_none_or(|names| names.contains(&t.name))
+                && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+                && t.cpus + 1e-6 >= spec.cpus
+                && t.gpus + 1e-6 >= spec.gpus
+                && t.memory_gb + 1e-6 >= spec.memory_gb
+        });
+        if fits {
+            Verdict::Fits
+        } else {
+            Verdict::Never("a task fits no allowed machine type")
+        }
+    }
+
+    /// Figures for operators, as CBOR.
+    pub(crate) fn metrics(&self) -> Vec<u8> {
+        let mut waiting = 0;
+        let mut on = 0;
+        for (_, j) in self.jobs.iter() {
+            waiting += j.waiting;
+            on += j.on;
+        }
+        to_cbor(&std::collections::BTreeMap::from([
+            ("epoch", self.epoch()),
+            ("leads", u64::from(self.leads())),
+            ("jobs", self.jobs.len() as u64),
+            ("tasks_waiting", u64::from(waiting)),
+            ("tasks_on_machines", u64::from(on)),
+            ("machines", self.machines.iter().count() as u64),
+        ]))
+    }
+}
+
+impl UserWork {
+    fn id(&self) -> &str {
+        match self {
+            UserWork::Submit(spec, _) => &spec.id,
+            UserWork::Poll(id) | UserWork::Abort(id) => id,
+        }
+    }
+}
+
+fn parse_job(body: &[u8]) -> Result<JobSpec, String> {
+    let spec: JobSpec = from_cbor(body).map_err(|e| e.to_string())?;
+    spec.check()?;
+    Ok(spec)
+}
--- /dev/null
+++ b/crates/core/src/cloud.rs
@@ -0,0 +1,529 @@
+//! Machines rented and returned: by demand, price and what became of them.
+
+use std::collections::BTreeMap;
+
+use quartzgate_wire::msg::{CloudStatus, HireRequest, JobSpec, MachineList, MachineNames, Rank};
+use quartzgate_wire::{from_cbor, to_cbor};
+
+use crate::budget::Budget;
+use crate::config::Config;
+use crate::controller::{Controller, Pending};
+use crate::ids::MachineIx;
+use crate::jobs::{JobState, TaskState};
+use crate::machines::{MachineState, Room};
+use crate::{Outcome, Peer};
+
+/// A machine that was rented and has not reported yet.
+#[derive(Clone, Debug)]
+struct Coming {
+    kind: String,
+    zone: Option<u16>,
+    spot: bool,
+    since_ms: u64,
+}
+
+pub(crate) struct Cloud {
+    calls: Budget,
+    list_at_ms: u64,
+    listing: bool,
+    coming: BTreeMap<String, Coming>,
+    /// Types, zones and kinds that were refused, and until when they are left alone.
+    refused: BTreeMap<(String, u16, bool), u64>,
+    hires: u64,
+    hiring: usize,
+    asked: BTreeMap<(String, u16, bool), u32>,
+    returning: Vec<MachineIx>,
+    seen: std::collections::BTreeSet<String>,
+}
+
+/// The cloud takes at most this many machines in one hire and one return.
+const HIRE_MOST: u32 = 50;
+const RETURN_MOST: usize = 100;
+/// A machine costs at least this long (PROTOCOL).
+const MIN_CHARGE_S: f64 = 60.0;
+/// Machines that take longer than this many boot times are given up.
+const BOOT_PATIENCE: f64 = 3.5;
+
+impl Cloud {
+    pub fn new(cfg: &Config) -> Self {
+        Cloud {
+            calls: Budget::new(cfg.platform.params.cloud.rps * 0.8),
+            list_at_ms: 0,
+            listing: false,
+            coming: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            hires: 0,
+            hiring: 0,
+            asked: BTreeMap::new(),
+            returning: Vec::new(),
+            seen: Default::default(),
+        }
+    }
+}
+
+/// Demand of one job that no machine has room for now.
+struct Unmet {
+    spec: JobSpec,
+    tasks: u32,
+}
+
+impl Controller {
+    pub(crate) fn tick_cloud(&mut self) {
+        let now = self.now.steady_ms;
+        let lag = (self.cfg.platform.params.cloud.list_lag_s * 1000.0) as u64;
+        if now >= self.cloud.list_at_ms && !self.cloud.listing {
+            self.cloud.list_at_ms = now + lag.max(2 * self.cfg.report_ms());
+            self.list_machines(None);
+        }
+        self.return_idle();
+        self.hire();
+        self.send_returns();
+    }
+
+    pub(crate) fn list_machines(&mut self, since: Option<String>) {
+        let mut target = "/machines?most=500".to_string();
+        if let Some(s) = &since {
+            target.push_str(&format!("&since={s}"));
+        }
+        self.cloud.listing = true;
+        self.call(Peer::Cloud, "GET", target, Vec::new(), 2000, Pending::List { since });
+    }
+
+    pub(crate) fn on_list(&mut self, _since: Option<String>, outcome: Outcome) {
+        self.cloud.listing = false;
+        if !self.commands_workers() {
+            return;
+        }
+        let Outcome::Answer(r) = outcome else { return };
+        if r.status != 200 {
+            return;
+        }
+        let Ok(list) = from_cbor::<MachineList>(&r.body) else { return };
+        let now = self.now.steady_ms;
+        let last = list.machines.last().map(|m| m.name.clone());
+        let mut failed = Vec::new();
+        for l in list.machines {
+            self.cloud.seen.insert(l.name.clone());
+            let known = self.machines.find(&l.name);
+            // The list lags: what we have returned may still be on it.
+            if known
+                .and_then(|ix| self.machines.get(ix))
+                .is_some_and(|m| matches!(m.state, MachineState::Gone | MachineState::Returning))
+            {
+                continue;
+            }
+            let zone =
+                self.cfg.platform.params.zones.iter().position(|z| *z == l.zone).map(|z| z as u16);
+            match l.status {
+                CloudStatus::Failed => {
+                    let ix = self.machine(&l.name);
+                    self.cloud.coming.remove(&l.name);
+                    tracing::info!(machine = %l.name, "the cloud lists it as failed");
+                    failed.push(ix);
+                }
+                CloudStatus::Booting => {
+                    let boot = self.boot_ms(&l.kind);
+                    let age = (l.age_s * 1000.0) as u64;
+                    self.cloud.coming.entry(l.name.clone()).or_insert(Coming {
+                        kind: l.kind,
+                        zone,
+                        spot: l.spot,
+                        since_ms: now.saturating_sub(age),
+                    });
+                    if known.is_some_and(|ix| self.heard(ix)) {
+                        self.cloud.coming.remove(&l.name);
+                    } else if age as f64 > boot as f64 * BOOT_PATIENCE {
+                        tracing::info!(machine = %l.name, age_s = l.age_s, "never came up");
+                        self.cloud.coming.remove(&l.name);
+                        let ix = self.machine(&l.name);
+                        self.begin_return(ix);
+                    }
+                }
+                CloudStatus::Running => {
+                    let ix = self.machine(&l.name);
+                    let Some(m) = self.machines.get_mut(ix) else { continue };
+                    m.listed = true;
+                    let unheard = m.heard_ms == 0;
+                    if m.addr.is_none() {
+                        m.addr = l.addr.parse().ok();
+                    }
+                    if m.kind.is_empty() {
+                        m.kind = l.kind.clone();
+                        m.zone = zone;
+                        m.spot = l.spot;
+                    }
+                    let quiet = now >= m.probed_ms + 2 * self.cfg.report_ms();
+                    if unheard && quiet {
+                        self.inspect(ix);
+                    }
+                    if !unheard {
+                        self.cloud.coming.remove(&l.name);
+                    }
+                }
+            }
+        }
+        for ix in failed {
+            // It has stopped: nothing is on it. Deleting it tidies the list.
+            if self.machines.get(ix).is_some_and(|m| m.state != MachineState::Gone) {
+                self.machine_to(ix, MachineState::Presumed);
+                self.begin_return(ix);
+            }
+        }
+        if list.more {
+            self.list_machines(last);
+        }
+    }
+
+    fn heard(&self, ix: MachineIx) -> bool {
+        self.machines.get(ix).is_some_and(|m| m.heard_ms > 0)
+    }
+
+    fn boot_ms(&self, kind: &str) -> u64 {
+        let s = self.types.iter().find(|t| t.name == kind).map_or(60.0, |t| t.boot_s);
+        (s * 1000.0) as u64
+    }
+
+    /// Sends a machine back; its tasks are gone once the cloud has said so.
+    pub(crate) fn begin_return(&mut self, ix: MachineIx) {
+        if !self.cloud.returning.contains(&ix) {
+            self.machine_to(ix, MachineState::Returning);
+            self.cloud.returning.push(ix);
+        }
+    }
+
+    fn send_returns(&mut self) {
+        let now = self.now.steady_ms;
+        if self.cloud.returning.is_empty() || !self.cloud.calls.take(now, 1.0, 0.2) {
+            return;
+        }
+        let all = std::mem::take(&mut self.cloud.returning);
+        let (go, rest) = all.split_at(all.len().min(RETURN_MOST));
+        self.cloud.returning = rest.to_vec();
+        let names: Vec<String> =
+            go.iter().filter_map(|ix| self.machines.get(*ix)).map(|m| m.name.clone()).collect();
+        tracing::info!(machines = ?names, "returning");
+        let body = to_cbor(&MachineNames { machines: names });
+        let pending = Pending::Return { machines: go.to_vec(), epoch: self.epoch() };
+        self.call(Peer::Cloud, "POST", "/machines/return".into(), body, 3000, pending);
+    }
+
+    pub(crate) fn on_return(&mut self, machines: Vec<MachineIx>, outcome: Outcome) {
+        let done = matches!(&outcome, Outcome::Answer(r) if r.status == 200);
+        for ix in machines {
+            if done {
+                let name = self.machines.get(ix).map(|m| m.name.clone()).unwrap_or_default();
+                self.cloud.coming.remove(&name);
+                self.machine_to(ix, MachineState::Gone);
+            } else if !self.cloud.returning.contains(&ix) {
+                // Perhaps executed: asked again until the cloud confirms.
+                self.cloud.returning.push(ix);
+            }
+        }
+    }
+
+    /// Tasks that wait and have no room now, after what is coming up already.
+    fn unmet(&self) -> Vec<Unmet> {
+        let mut free: Vec<(String, Option<u16>, bool, Room)> = Vec::new();
+        for (_, m) in self.machines.iter().filter(|(_, m)| m.usable()) {
+            free.push((m.kind.clone(), m.zone, m.spot, self.free_room(m)));
+        }
+        for c in self.cloud.coming.values() {
+            if let Some(all) = self.capacity_of(&c.kind) {
+                free.push((c.kind.clone(), c.zone, c.spot, all));
+            }
+        }
+        for ((kind, zone, spot), n) in &self.cloud.asked {
+            for _ in 0..*n {
+                if let Some(all) = self.capacity_of(kind) {
+                    free.push((kind.clone(), Some(*zone), *spot, all));
+                }
+            }
+        }
+        let mut jobs: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.state == JobState::Live)
+            .filter(|(_, j)| j.spec.shape != quartzgate_wire::msg::Shape::Gang)
+            .collect();
+        jobs.sort_by_key(|(ix, j)| (std::cmp::Reverse(j.spec.rank), *ix));
+        let mut out = Vec::new();
+        let mut extra: Vec<f64> = vec![0.0; self.teams.len()];
+        for (_, job) in jobs {
+            let dealt = job.tasks().filter(|(_, t)| t.state == TaskState::Waiting).count() as u32;
+            let known: u32 =
+                job.tasks().filter(|(_, t)| t.state != TaskState::Undealt).count() as u32;
+            let folded: u32 =
+                job.done_chunks.iter().flat_map(|(a, b)| *a..=*b).map(|c| job.chunk_len(c)).sum();
+            let undealt = job.spec.tasks.saturating_sub(known + folded);
+            // No more than the team's limit lets run.
+            let limit = self.cfg.platform.params.teams[job.team].cpus_max;
+            let allowed = if limit > 0.0 {
+                let left = limit - self.teams[job.team].licensed.cpus - extra[job.team];
+                (left / job.spec.cpus.max(1e-9)).max(0.0) as u32
+            } else {
+                u32::MAX
+            };
+            let undealt = undealt.min(allowed);
+            extra[job.team] += f64::from(undealt) * job.spec.cpus;
+            let mut wanting = dealt + undealt;
+            let need = job.room();
+            let mut took = Vec::new();
+            for (at, (kind, zone, spot, room)) in free.iter_mut().enumerate() {
+                if wanting == 0 {
+                    break;
+                }
+                if !self.allows(&job.spec, kind, *zone, *spot) {
+                    continue;
+                }
+                let n = room.holds(&need).min(wanting);
+                room.add(&need, -f64::from(n));
+                wanting -= n;
+                took.push(at);
+            }
+            if wanting > 0 {
+                out.push(Unmet { spec: job.spec.clone(), tasks: wanting });
+            }
+        }
+        // Ordinary room kept warm for production starts.
+        if let Some(u) = self.warm_room(&free) {
+            out.push(u);
+        }
+        out
+    }
+
+    /// Production tasks that would find no room, taken as a share of those running.
+    fn warm_room(&self, free: &[(String, Option<u16>, bool, Room)]) -> Option<Unmet> {
+        let production = || {
+            self.jobs
+                .iter()
+                .map(|(_, j)| j)
+                .filter(|j| j.state == JobState::Live && j.spec.rank == Rank::Production)
+        };
+        let largest = production().max_by(|a, b| a.spec.cpus.total_cmp(&b.spec.cpus))?;
+        let running: f64 = production().map(|j| f64::from(j.on)).sum();
+        let wanted = (running * self.cfg.operator.warm_share).ceil() as u32;
+        let need = largest.room();
+        let have: u32 = free
+            .iter()
+            .filter(|(kind, zone, spot, _)| self.allows(&largest.spec, kind, *zone, *spot))
+            .map(|(_, _, _, room)| room.holds(&need))
+            .sum();
+        // Work of lower priority makes room when production needs it.
+        let yielding: u32 = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.usable() && !m.spot)
+            .flat_map(|(_, m)| m.tasks.keys())
+            .filter(|k| self.jobs.get(k.job).is_some_and(|j| j.spec.rank < Rank::Production))
+            .count() as u32;
+        let short = wanted.saturating_sub(have + yielding);
+        (short > 0).then(|| Unmet { spec: largest.spec.clone(), tasks: short })
+    }
+
+    fn hire(&mut self) {
+        if self.types.is_empty() || !self.commands_workers() || self.cloud.hiring >= 4 {
+            return;
+        }
+        let now = self.now.steady_ms;
+        // A while to hear of what runs already.
+        if now < self.epoch_began_ms + 2 * self.cfg.report_ms() {
+            return;
+        }
+        self.cloud.refused.retain(|_, until| *until > now);
+        let zones = self.cfg.platform.params.zones.clone();
+        let mut wants: BTreeMap<(String, u16, bool), f64> = BTreeMap::new();
+        for u in self.unmet() {
+            let need = Room { cpus: u.spec.cpus, gpus: u.spec.gpus, memory_gb: u.spec.memory_gb };
+            let mut left = f64::from(u.tasks);
+            // Room in machines that this round asks for already.
+            let mut best: Vec<(f64, (String, u16, bool), u32)> = Vec::new();
+            for t in &self.types {
+                let all = Room { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb };
+                let holds = all.holds(&need);
+                if holds == 0 {
+                    continue;
+                }
+                for (z, name) in zones.iter().enumerate() {
+                    if !t.zones.contains(name) {
+                        continue;
+                    }
+                    for spot in [true, false] {
+                        let key = (t.name.clone(), z as u16, spot);
+                        if !self.allows(&u.spec, &t.name, Some(z as u16), spot)
+                            || self.cloud.refused.contains_key(&key)
+                            || spot && t.spot_price <= 0.0
+                        {
+                            continue;
+                        }
+                        let price = if spot { t.spot_price } else { t.price };
+                        // Price of the tasks it would hold, empty places included.
+                        let used = f64::from(holds.min(left.ceil() as u32).max(1));
+                        let already = wants.get(&key).copied().unwrap_or(0.0);
+                        best.push((price / used * (1.0 + 0.01 * already), key, holds));
+                    }
+                }
+            }
+            best.sort_by(|a, b| a.0.total_cmp(&b.0));
+            if let Some((_, key, holds)) = best.into_iter().next() {
+                let machines = left / f64::from(holds);
+                *wants.entry(key).or_default() += machines;
+                left = 0.0;
+            }
+            let _ = left;
+        }
+        for ((kind, zone, spot), machines) in wants {
+            let count = (machines.ceil() as u32).min(HIRE_MOST);
+            if count == 0 || !self.cloud.calls.take(now, 1.0, 0.3) {
+                continue;
+            }
+            self.cloud.hires += 1;
+            let name = format!("h-{}-{}", self.epoch(), self.cloud.hires);
+            tracing::info!(hire = %name, %kind, zone = %zones[zone as usize], spot, count, "hiring");
+            let body = to_cbor(&HireRequest {
+                hire: name.clone(),
+                kind: kind.clone(),
+                zone: zones[zone as usize].clone(),
+                spot,
+                count,
+            });
+            self.cloud.hiring += 1;
+            *self.cloud.asked.entry((kind.clone(), zone, spot)).or_default() += count;
+            let pending =
+                Pending::Hire { kind, zone, spot, wanted: count, name, epoch: self.epoch() };
+            self.call(Peer::Cloud, "POST", "/machines".into(), body, 3000, pending);
+        }
+    }
+
+    pub(crate) fn on_hire(
+        &mut self,
+        kind: String,
+        zone: u16,
+        spot: bool,
+        wanted: u32,
+        name: String,
+        outcome: Outcome,
+    ) {
+        let now = self.now.steady_ms;
+        self.cloud.hiring = self.cloud.hiring.saturating_sub(1);
+        let key = (kind.clone(), zone, spot);
+        if let Some(n) = self.cloud.asked.get_mut(&key) {
+            *n = n.saturating_sub(wanted);
+        }
+        let hired = match &outcome {
+            Outcome::Answer(r) if r.status == 200 => from_cbor::<MachineNames>(&r.body).ok(),
+            _ => None,
+        };
+        let Some(hired) = hired else {
+            // What a lost hire may still bring shows in the list.
+            let pause = self.boot_ms(&kind) / 2;
+            tracing::info!(hire = %name, %kind, spot, "hire refused");
+            self.cloud.refused.insert(key, now + pause);
+            return;
+        };
+        tracing::info!(hire = %name, machines = ?hired.machines, "hired");
+        if (hired.machines.len() as u32) < wanted {
+            let pause = self.boot_ms(&kind) / 2;
+            self.cloud.refused.insert(key, now + pause);
+        }
+        for m in hired.machines {
+            if self.machines.find(&m).is_some_and(|ix| self.heard(ix)) {
+                continue;
+            }
+            let coming = Coming { kind: kind.clone(), zone: Some(zone), spot, since_ms: now };
+            self.cloud.coming.insert(m, coming);
+        }
+    }
+
+    /// Sends back what has long been idle, is faulty, or is of no use.
+    fn return_idle(&mut self) {
+        let now = self.now.steady_ms;
+        if now < self.epoch_began_ms + self.cfg.lease_ms() {
+            return;
+        }
+        let heard: Vec<String> = self
+            .cloud
+            .coming
+            .keys()
+            .filter(|n| self.machines.find(n).is_some_and(|ix| self.heard(ix)))
+            .cloned()
+            .collect();
+        for name in heard {
+            self.cloud.coming.remove(&name);
+        }
+        let stale: Vec<String> = self
+            .cloud
+            .coming
+            .iter()
+            .filter(|(_, c)| {
+                let patience = self.boot_ms(&c.kind) as f64 * BOOT_PATIENCE;
+                now as f64 > c.since_ms as f64 + patience
+            })
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in stale {
+            tracing::info!(machine = %name, "never came up");
+            self.cloud.coming.remove(&name);
+            let ix = self.machine(&name);
+            self.begin_return(ix);
+        }
+        // Production's warm room is not idle.
+        let mut keep = self.warm_needed();
+        for ix in self.machines.indexes() {
+            let Some(m) = self.machines.get(ix) else { continue };
+            let patience = self.cfg.operator.idle_ratio
+                * (self.boot_ms(&m.kind) as f64).max(MIN_CHARGE_S * 1000.0);
+            let idle = m.state == MachineState::Ready
+                && m.tasks.is_empty()
+                && m.queue.is_empty()
+                && m.unproven.is_empty()
+                && !m.calling
+                && now as f64 > m.idle_since_ms as f64 + patience;
+            let faulty = m.quarantined && m.state == MachineState::Ready && m.tasks.is_empty();
+            let lost = m.state == MachineState::Presumed
+                && now > m.heard_ms.max(m.answered_ms.unwrap_or(0)) + 2 * self.cfg.silence_ms();
+            if m.recall_ms.is_some() && !lost {
+                continue;
+            }
+            if idle && !faulty && !m.spot {
+                if let Some((need, left)) = keep.as_mut().filter(|(_, n)| *n > 0) {
+                    let holds = self.capacity_of(&m.kind).map_or(0, |c| c.holds(need));
+                    *left = left.saturating_sub(holds);
+                    continue;
+                }
+            }
+            if idle || faulty || lost {
+                tracing::info!(machine = %m.name, idle, faulty, lost, "giving back");
+                self.begin_return(ix);
+            }
+        }
+        // Machines that are gone and that nothing refers to need no memory.
+        for ix in self.machines.indexes() {
+            let old = self.machines.get(ix).is_some_and(|m| {
+                m.state == MachineState::Gone
+                    && m.tasks.is_empty()
+                    && now > m.heard_ms.max(m.since_ms) + 20 * self.cfg.silence_ms()
+            });
+            let named = old
+                && self
+                    .jobs
+                    .iter()
+                    .any(|(_, j)| j.tasks().any(|(_, t)| t.probes.iter().any(|p| p.machine == ix)));
+            if old && !named {
+                self.machines.remove(ix);
+            }
+        }
+    }
+
+    fn warm_needed(&self) -> Option<(Room, u32)> {
+        let production = || {
+            self.jobs
+                .iter()
+                .map(|(_, j)| j)
+                .filter(|j| j.state == JobState::Live && j.spec.rank == Rank::Production)
+        };
+        let largest = production().max_by(|a, b| a.spec.cpus.total_cmp(&b.spec.cpus))?;
+        let running: f64 = production().map(|j| f64::from(j.on)).sum();
+        let wanted = (running * self.cfg.operator.warm_share).ceil() as u32;
+        Some((largest.room(), wanted))
+    }
+}
--- /dev/null
+++ b/crates/core/src/controller.rs
@@ -0,0 +1,417 @@
+//! The controller: one value that takes events and gives actions.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+use quartzgate_wire::http::Response;
+use quartzgate_wire::msg::{ErrorAnswer, JobSpec, MachineType};
+use quartzgate_wire::to_cbor;
+use rand::rngs::SmallRng;
+
+use crate::budget::Budget;
+use crate::cloud::Cloud;
+use crate::config::Config;
+use crate::dispatch::Ratios;
+use crate::ids::{JobIx, MachineIx, TaskKey};
+use crate::jobs::Jobs;
+use crate::machines::{Machines, Room};
+use crate::member::{Member, Role};
+use crate::records::RecordedStatus;
+use crate::restore::Restore;
+use crate::store::{FlushItem, Store};
+use crate::{Action, Call, CallId, Event, Now, Outcome, Peer, RequestId};
+
+/// What a call of ours was for.
+#[derive(Debug)]
+pub(crate) enum Pending {
+    LeaseNew { sent_ms: u64 },
+    LeaseRenew { sent_ms: u64 },
+    MemberKey,
+    ControlRead,
+    ControlWatch { sent_ms: u64 },
+    Elect { epoch: u64 },
+    InboxWatch { sent_ms: u64, epoch: u64 },
+    InboxRead { job: String, epoch: u64 },
+    Restore { epoch: u64 },
+    Orders { machine: MachineIx, token: u64, starts: Vec<(TaskKey, u64)> },
+    Inspect { machine: MachineIx, epoch: u64 },
+    Flush { items: Vec<FlushItem>, epoch: u64 },
+    Restamp { item: FlushItem, epoch: u64 },
+    Accept { request: RequestId, job: JobIx, epoch: u64 },
+    AcceptAlone { request: RequestId, id: String },
+    AbortWrite { request: RequestId, job: JobIx, epoch: u64 },
+    AbortRead { request: RequestId, id: String },
+    AbortAlone { request: RequestId, id: String },
+    Known { request: RequestId, spec: Box<JobSpec> },
+    Poll { request: RequestId, id: String },
+    Forward { request: RequestId, sibling: usize, work: Box<UserWork> },
+    Beat { sibling: usize },
+    Adopt { job: JobIx, epoch: u64 },
+    Types,
+    List { since: Option<String> },
+    Hire { kind: String, zone: u16, spot: bool, wanted: u32, name: String, epoch: u64 },
+    Return { machines: Vec<MachineIx>, epoch: u64 },
+}
+
+/// A user's request, parsed.
+#[derive(Clone, Debug)]
+pub(crate) enum UserWork {
+    Submit(Box<JobSpec>, Vec<u8>),
+    Poll(String),
+    Abort(String),
+}
+
+/// Ends of jobs, which never change again. Bounded: the oldest are read anew.
+#[derive(Default)]
+pub(crate) struct Finals {
+    known: HashMap<String, RecordedStatus>,
+    order: VecDeque<String>,
+}
+
+/// How many ends are kept in memory.
+const FINALS: usize = 20_000;
+
+impl Finals {
+    pub fn insert(&mut self, id: String, status: RecordedStatus) {
+        if self.known.insert(id.clone(), status).is_none() {
+            self.order.push_back(id);
+            if self.order.len() > FINALS {
+                if let Some(old) = self.order.pop_front() {
+                    self.known.remove(&old);
+                }
+            }
+        }
+    }
+
+    pub fn get(&self, id: &str) -> Option<RecordedStatus> {
+        self.known.get(id).copied()
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TeamUse {
+    /// Dealt and not provably ended: what the limit is held against.
+    pub licensed: Room,
+    /// On machines.
+    pub placed: Room,
+}
+
+pub struct Controller {
+    pub(crate) cfg: Config,
+    pub(crate) now: Now,
+    pub(crate) rng: SmallRng,
+    pub(crate) out: Vec<Action>,
+    next_call: CallId,
+    pending: HashMap<CallId, Pending>,
+    pub(crate) member: Member,
+    pub(crate) finals: Finals,
+    pub(crate) types: Vec<MachineType>,
+    pub(crate) types_at_ms: Option<u64>,
+    pub(crate) types_asked_ms: u64,
+    // The leader's memory, emptied when it is superseded.
+    pub(crate) jobs: Jobs,
+    pub(crate) machines: Machines,
+    pub(crate) teams: Vec<TeamUse>,
+    pub(crate) store: Store,
+    pub(crate) cloud: Cloud,
+    pub(crate) restore: Restore,
+    pub(crate) ratios: Ratios,
+    pub(crate) epoch_began_ms: u64,
+    pub(crate) attempts: u64,
+    pub(crate) arrivals: u64,
+    pub(crate) touched: BTreeSet<MachineIx>,
+    pub(crate) needs_orders: BTreeSet<MachineIx>,
+    pub(crate) deal_due: bool,
+    pub(crate) reprobe_due: bool,
+    pub(crate) drain_due: bool,
+    pub(crate) preempt_due: bool,
+    pub(crate) supply_changed: bool,
+    pub(crate) round_at_ms: u64,
+    pub(crate) second_at_ms: u64,
+    /// Reads of records that failed and are tried again.
+    pub(crate) store_retry: Vec<FlushItem>,
+    pub(crate) inbox_again: Vec<String>,
+}
+
+impl Controller {
+    pub fn new(cfg: Config, rng: SmallRng) -> Self {
+        let teams = vec![TeamUse::default(); cfg.platform.params.teams.len()];
+        let store = Store::new(&cfg);
+        let cloud = Cloud::new(&cfg);
+        let member = Member::new(&cfg);
+        Controller {
+            cfg,
+            now: Now::default(),
+            rng,
+            out: Vec::new(),
+            next_call: 1,
+            pending: HashMap::new(),
+            member,
+            finals: Finals::default(),
+            types: Vec::new(),
+            types_at_ms: None,
+            types_asked_ms: 0,
+            jobs: Jobs::default(),
+            machines: Machines::default(),
+            teams,
+            store,
+            cloud,
+            restore: Restore::default(),
+            ratios: Ratios::default(),
+            epoch_began_ms: 0,
+            attempts: 0,
+            arrivals: 0,
+            touched: BTreeSet::new(),
+            needs_orders: BTreeSet::new(),
+            deal_due: false,
+            reprobe_due: false,
+            drain_due: false,
+            preempt_due: false,
+            supply_changed: false,
+            round_at_ms: 0,
+            second_at_ms: 0,
+            store_retry: Vec::new(),
+            inbox_again: Vec::new(),
+        }
+    }
+
+    /// Takes in what has happened; returns what is to be done.
+    pub fn handle(&mut self, now: Now, event: Event) -> Vec<Action> {
+        self.now = now;
+        match event {
+            Event::Tick => self.on_tick(),
+            Event::Client { id, request } => self.on_client(id, request),
+            Event::Mesh { id, request } => self.on_mesh(id, request),
+            Event::Outcome { call, outcome } => {
+                if let Some(pending) = self.pending.remove(&call) {
+                    self.on_outcome(pending, outcome);
+                }
+            }
+        }
+        self.pump();
+        std::mem::take(&mut self.out)
+    }
+
+    fn on_tick(&mut self) {
+        self.tick_member();
+        self.tick_types();
+        self.tick_restore();
+        if !self.leads() {
+            return;
+        }
+        let now = self.now.steady_ms;
+        if now >= self.second_at_ms {
+            self.second_at_ms = now + 1000.min(self.cfg.report_ms());
+            self.presume_silent();
+            self.tick_cloud();
+            self.drain();
+            self.retry_reads();
+            self.retry_inbox();
+            self.deal_due = true;
+            self.touch_waiting();
+            self.preempt_due = true;
+        }
+        if now >= self.round_at_ms {
+            self.round_at_ms = now + self.cfg.report_ms();
+            self.weigh();
+            self.reprobe_due = true;
+        }
+    }
+
+    /// Follows up on whatever the event has made possible.
+    fn pump(&mut self) {
+        if !self.leads() {
+            return;
+        }
+        if std::mem::take(&mut self.drain_due) {
+            self.drain();
+        }
+        if std::mem::take(&mut self.deal_due) {
+            self.deal_all();
+        }
+        if std::mem::take(&mut self.reprobe_due) {
+            self.reprobe();
+        }
+        self.dispatch_touched();
+        if std::mem::take(&mut self.preempt_due) {
+            self.preempt();
+        }
+        for ix in std::mem::take(&mut self.needs_orders) {
+            self.send_orders(ix);
+        }
+        self.flush();
+    }
+
+    fn on_outcome(&mut self, pending: Pending, outcome: Outcome) {
+        let current = self.epoch();
+        match pending {
+            Pending::LeaseNew { sent_ms } => self.on_lease_new(sent_ms, outcome),
+            Pending::LeaseRenew { sent_ms } => self.on_lease_renew(sent_ms, outcome),
+            Pending::MemberKey => {}
+            Pending::ControlRead => self.on_control_read(outcome),
+            Pending::ControlWatch { sent_ms } => self.on_control_watch(sent_ms, outcome),
+            Pending::Elect { epoch } => self.on_elect(epoch, outcome),
+            Pending::AcceptAlone { request, id } => self.on_accept_alone(request, id, outcome),
+            Pending::AbortRead { request, id } => self.on_abort_read(request, id, outcome),
+            Pending::AbortAlone { request, id } => self.on_abort_alone(request, id, outcome),
+            Pending::Known { request, spec } => self.on_known(request, *spec, outcome),
+            Pending::Poll { request, id } => self.on_poll_read(request, id, outcome),
+            Pending::Forward { request, sibling, work } => {
+                self.on_forwarded(request, sibling, *work, outcome)
+            }
+            Pending::Beat { sibling } => self.on_beat(sibling, outcome),
+            Pending::Types => self.on_types(outcome),
+            Pending::Accept { request, job, epoch } => {
+                if epoch == current {
+                    self.on_accept(request, job, outcome)
+                } else {
+                    self.answer_busy(request)
+                }
+            }
+            Pending::AbortWrite { request, job, epoch } => {
+                if epoch == current {
+                    self.on_abort_write(request, job, outcome)
+                } else {
+                    self.answer_busy(request)
+                }
+            }
+            // What follows concerns a memory that is gone if the epoch has changed.
+            Pending::Restore { epoch }
+            | Pending::InboxWatch { epoch, .. }
+            | Pending::InboxRead { epoch, .. }
+            | Pending::Inspect { epoch, .. }
+            | Pending::Flush { epoch, .. }
+            | Pending::Restamp { epoch, .. }
+            | Pending::Adopt { epoch, .. }
+            | Pending::Hire { epoch, .. }
+            | Pending::Return { epoch, .. }
+                if epoch != current => {}
+            Pending::Restore { .. } => self.on_restore(outcome),
+            Pending::InboxWatch { sent_ms, .. } => self.on_inbox_watch(sent_ms, outcome),
+            Pending::InboxRead { job, .. } => self.on_inbox_read(job, outcome),
+            Pending::Orders { machine, token, starts } => {
+                if crate::ids::epoch_of(token) == current {
+                    self.on_orders_outcome(machine, token, starts, outcome)
+                }
+            }
+            Pending::Inspect { machine, .. } => self.on_inspect(machine, outcome),
+            Pending::Flush { items, .. } => self.on_flush(items, outcome),
+            Pending::Restamp { item, .. } => self.on_restamp(item, outcome),
+            Pending::Adopt { job, .. } => self.on_adopt(job, outcome),
+            Pending::List { since } => self.on_list(since, outcome),
+            Pending::Hire { kind, zone, spot, wanted, name, .. } => {
+                self.on_hire(kind, zone, spot, wanted, name, outcome)
+            }
+            Pending::Return { machines, .. } => self.on_return(machines, outcome),
+        }
+    }
+
+    pub(crate) fn call(
+        &mut self,
+        peer: Peer,
+        method: &'static str,
+        target: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+        pending: Pending,
+    ) {
+        let id = self.next_call;
+        self.next_call += 1;
+        self.pending.insert(id, pending);
+        self.out.push(Action::Call(Call { id, peer, method, target, body, timeout_ms }));
+    }
+
+    pub(crate) fn answer(&mut self, id: RequestId, response: Response) {
+        self.out.push(Action::Answer { id, response });
+    }
+
+    pub(crate) fn answer_error(&mut self, id: RequestId, status: u16, error: &str) {
+        let body = to_cbor(&ErrorAnswer { error: error.to_string() });
+        self.answer(id, Response::new(status, body));
+    }
+
+    /// Can't be decided now: says so at once, and when to come back.
+    pub(crate) fn answer_busy(&mut self, id: RequestId) {
+        let body = to_cbor(&ErrorAnswer { error: "can't decide at present".into() });
+        let mut response = Response::new(503, body);
+        response.retry_after_s = Some(1);
+        self.answer(id, response);
+    }
+
+    pub(crate) fn next_attempt(&mut self) -> u64 {
+        self.attempts += 1;
+        crate::ids::in_epoch(self.epoch(), self.attempts)
+    }
+
+    /// Another controller has taken over: everything that the leader kept goes.
+    pub(crate) fn superseded(&mut self) {
+        if !matches!(self.member.role, Role::Follower) {
+            tracing::info!(epoch = self.epoch(), "no longer leading");
+        }
+        self.role_to(Role::Follower);
+    }
+
+    pub(crate) fn forget_leadership(&mut self) {
+        self.jobs = Jobs::default();
+        self.machines = Machines::default();
+        self.teams.iter_mut().for_each(|t| *t = TeamUse::default());
+        self.store = Store::new(&self.cfg);
+        self.cloud = Cloud::new(&self.cfg);
+        self.restore = Restore::default();
+        self.ratios = Ratios::default();
+        self.touched.clear();
+        self.needs_orders.clear();
+        self.attempts = 0;
+        self.store_retry.clear();
+        self.inbox_again.clear();
+    }
+
+    pub(crate) fn touch_all(&mut self) {
+        self.touched.extend(self.machines.indexes());
+    }
+
+    /// Machines whose queues hold something that may have become due.
+    fn touch_waiting(&mut self) {
+        let waiting: Vec<MachineIx> =
+            self.machines.iter().filter(|(_, m)| !m.queue.is_empty()).map(|(ix, _)| ix).collect();
+        self.touched.extend(waiting);
+    }
+
+    pub(crate) fn state_call(
+        &mut self,
+        method: &'static str,
+        target: String,
+        body: Vec<u8>,
+        pending: Pending,
+    ) {
+        let timeout = self.cfg.state_timeout_ms();
+        self.call(Peer::State, method, target, body, timeout, pending);
+    }
+
+    /// Whether a read for a user may be made now.
+    pub(crate) fn may_read(&mut self) -> bool {
+        let now = self.now.steady_ms;
+        self.member.reads.take(now, 1.0, 0.1)
+    }
+
+    /// The state service asked for a pause.
+    pub(crate) fn state_busy(&mut self, status: u16) {
+        use rand::Rng;
+        let pause = self.rng.random_range(100..300);
+        let now = self.now.steady_ms;
+        if status == 429 {
+            self.member.reads.close(now, pause);
+        }
+        self.store.writes.close(now, pause);
+    }
+}
+
+/// Shares of the state service's limits that the leader may use; the rest is for
+/// the other controllers.
+pub(crate) fn leader_share(limit: f64) -> Budget {
+    Budget::new(limit * 0.8)
+}
+
+/// Share of a limit for one controller that does not lead.
+pub(crate) fn follower_share(limit: f64, controllers: usize) -> Budget {
+    Budget::new((limit * 0.2 / controllers.max(1) as f64).max(1.0))
+}
--- /dev/null
+++ b/crates/core/src/dispatch.rs
@@ -0,0 +1,388 @@
+//! Late binding: the probe that first reaches the front of a queue on a machine
+//! with room binds its task; the task's other probes are dropped.
+
+use std::collections::BTreeMap;
+
+use quartzgate_wire::msg::{Rank, TaskStatus};
+
+use crate::controller::Controller;
+use crate::ids::{MachineIx, TaskKey};
+use crate::jobs::{Job, JobState, Task, TaskState};
+use crate::machines::Room;
+use crate::queue::{pick, QueueOrder, Standing};
+use crate::wait::expected_wait;
+
+/// Demand and supply of every constraint, weighed anew each report round.
+#[derive(Default)]
+pub(crate) struct Ratios {
+    by_constraint: BTreeMap<Constraint, f64>,
+    max: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Constraint {
+    Cpu,
+    Gpu,
+    Memory,
+    Kind(String),
+    Zone(String),
+    /// No spot machines.
+    Ordinary,
+}
+
+impl Controller {
+    /// Constraints of a job, with the amount a task asks of each.
+    fn constraints(&self, job: &Job) -> Vec<(Constraint, f64)> {
+        let s = &job.spec;
+        let mut out = vec![(Constraint::Cpu, s.cpus), (Constraint::Memory, s.memory_gb)];
+        if s.gpus > 0.0 {
+            out.push((Constraint::Gpu, s.gpus));
+        }
+        for kind in s.types.iter().flatten() {
+            out.push((Constraint::Kind(kind.clone()), s.cpus));
+        }
+        if let Some(z) = &s.zone {
+            out.push((Constraint::Zone(z.clone()), s.cpus));
+        }
+        if !s.spot {
+            out.push((Constraint::Ordinary, s.cpus));
+        }
+        out
+    }
+
+    /// Weighs tasks asking against machines offering, per constraint.
+    pub(crate) fn weigh(&mut self) {
+        let mut demand: BTreeMap<Constraint, f64> = BTreeMap::new();
+        for (_, job) in self.jobs.iter().filter(|(_, j)| j.state == JobState::Live) {
+            let asking = job.spec.tasks - job.done;
+            for (c, amount) in self.constraints(job) {
+                *demand.entry(c).or_default() += amount * f64::from(asking);
+            }
+        }
+        let mut supply: BTreeMap<Constraint, f64> = BTreeMap::new();
+        let zones = self.cfg.platform.params.zones.clone();
+        for (_, m) in self.machines.iter().filter(|(_, m)| m.usable()) {
+            let Some(all) = self.capacity_of(&m.kind) else { continue };
+            let mut add = |c, amount| *supply.entry(c).or_insert(0.0) += amount;
+            add(Constraint::Cpu, all.cpus);
+            add(Constraint::Memory, all.memory_gb);
+            add(Constraint::Gpu, all.gpus);
+            add(Constraint::Kind(m.kind.clone()), all.cpus);
+            if let Some(z) = m.zone {
+                add(Constraint::Zone(zones[z as usize].clone()), all.cpus);
+            }
+            if !m.spot {
+                add(Constraint::Ordinary, all.cpus);
+            }
+        }
+        let by_constraint: BTreeMap<Constraint, f64> = demand
+            .into_iter()
+            .map(|(c, asked)| {
+                let offered = supply.get(&c).copied().unwrap_or(0.0);
+                let ratio = if asked <= 0.0 { 0.0 } else { asked / offered.max(1e-9) };
+                (c, ratio)
+            })
+            .collect();
+        let max = by_constraint.values().copied().fold(0.0, f64::max);
+        self.ratios = Ratios { by_constraint, max };
+    }
+
+    fn ratio_of(&self, job: &Job) -> f64 {
+        self.constraints(job)
+            .iter()
+            .filter_map(|(c, _)| self.ratios.by_constraint.get(c))
+            .copied()
+            .fold(0.0, f64::max)
+    }
+
+    /// Time that a task still needs, by its owner's estimate.
+    pub(crate) fn remaining_s(&self, job: &Job, task: &Task) -> f64 {
+        let estimate = job.spec.estimate_s;
+        match task.state {
+            TaskState::On { status: TaskStatus::Running, since_ms, .. } => {
+                let ran = (self.now.steady_ms - since_ms) as f64 / 1000.0;
+                (estimate - ran).max(estimate * 0.1)
+            }
+            // What failed before is not short: its time counts once more each time.
+            _ => estimate * f64::from(1 + task.failures.min(8)),
+        }
+    }
+
+    /// E\[W\] of a machine's queue.
+    pub(crate) fn wait_of(&self, ix: MachineIx) -> f64 {
+        let Some(m) = self.machines.get(ix) else { return 0.0 };
+        let Some(all) = self.capacity_of(&m.kind) else { return 0.0 };
+        let share = |used: f64, all: f64| if all > 0.0 { used / all } else { 0.0 };
+        let load = share(m.used.cpus, all.cpus)
+            .max(share(m.used.gpus, all.gpus))
+            .max(share(m.used.memory_gb, all.memory_gb));
+        let keys = m.tasks.keys().chain(&m.queue);
+        let times = keys.filter_map(|k| {
+            let job = self.jobs.get(k.job)?;
+            Some(self.remaining_s(job, job.task(k.task)?))
+        });
+        expected_wait(load, times.filter(|t| *t > 0.0))
+    }
+
+    pub(crate) fn dispatch_touched(&mut self) {
+        let rounds = 3 * self.touched.len().max(8);
+        for _ in 0..rounds {
+            let Some(ix) = self.touched.pop_first() else { break };
+            self.dispatch(ix);
+        }
+        if std::mem::take(&mut self.supply_changed) {
+            self.reprobe_due = true;
+            self.deal_due = true;
+        }
+    }
+
+    /// Binds tasks from a machine's queue while it has room.
+    fn dispatch(&mut self, ix: MachineIx) {
+        if !self.commands_workers() {
+            return;
+        }
+        let now = self.now.steady_ms;
+        loop {
+            let Some(m) = self.machines.get(ix) else { return };
+            if !m.usable() || m.queue.is_empty() || now < m.no_room_until_ms {
+                return;
+            }
+            let free = self.free_room(m);
+            if free.cpus < 1e-6 {
+                return;
+            }
+            // Tasks that may be bound here at all.
+            let mut keys: Vec<TaskKey> = Vec::with_capacity(m.queue.len());
+            let mut standings: Vec<Standing> = Vec::with_capacity(m.queue.len());
+            let mut elsewhere: Vec<MachineIx> = Vec::new();
+            for key in &m.queue {
+                let Some(job) = self.jobs.get(key.job) else { continue };
+                let Some(task) = job.task(key.task) else { continue };
+                if !self.startable(job, *key, task, ix) {
+                    continue;
+                }
+                if let Some(better) = self.image_elsewhere(job, task, ix) {
+                    elsewhere.push(better);
+                    continue;
+                }
+                keys.push(*key);
+                standings.push(self.standing(job, task));
+            }
+            let operator = &self.cfg.operator;
+            let order = QueueOrder::choose(
+                self.ratios.max,
+                operator.ratio_threshold,
+                self.wait_of(ix),
+                operator.wait_threshold_s,
+            );
+            let picked = pick(&standings, order, operator.slack_cap, |place| {
+                self.jobs.get(keys[place].job).is_some_and(|j| free.fits(&j.room()))
+            });
+            self.touched.extend(elsewhere.into_iter().filter(|e| *e != ix));
+            let Some(picked) = picked else { return };
+            for passed in picked.passed {
+                if let Some(t) = self.jobs.task_mut(keys[passed]) {
+                    t.slack += 1;
+                }
+            }
+            self.bind(keys[picked.chosen], ix);
+        }
+    }
+
+    fn standing(&self, job: &Job, task: &Task) -> Standing {
+        let team = &self.cfg.platform.params.teams[job.team];
+        let placed = &self.teams[job.team].placed;
+        Standing {
+            rank: job.spec.rank,
+            guaranteed: team.cpus > 0.0 && placed.cpus + job.spec.cpus <= team.cpus + 1e-6,
+            remaining_s: self.remaining_s(job, task),
+            ratio: self.ratio_of(job),
+            slack: task.slack,
+            arrived: task.arrived,
+        }
+    }
+
+    /// The proof rule: the record names this machine for the task, and no other
+    /// machine that the task was ever probed to can hold it.
+    fn startable(&self, job: &Job, key: TaskKey, task: &Task, ix: MachineIx) -> bool {
+        let Some(chunk) = job.chunks.get(&(key.task / crate::records::CHUNK)) else { return false };
+        job.state == JobState::Live
+            && task.state == TaskState::Waiting
+            && task.not_before_ms <= self.now.steady_ms
+            && task.probes.iter().all(|p| !p.unproven)
+            && task.probes.iter().any(|p| p.machine == ix && p.version <= chunk.acked)
+            && self.machines.get(ix).is_some_and(|m| {
+                (task.zone.is_none() || task.zone == m.zone)
+                    && self.allows(&job.spec, &m.kind, m.zone, m.spot)
+            })
+    }
+
+    /// Another machine of the task's that has room and, unlike this one, the image.
+    fn image_elsewhere(&self, job: &Job, task: &Task, ix: MachineIx) -> Option<MachineIx> {
+        let image = &job.spec.image;
+        if self.machines.get(ix)?.images.contains_key(image) {
+            return None;
+        }
+        let need = job.room();
+        task.probes.iter().map(|p| p.machine).find(|other| {
+            self.machines.get(*other).is_some_and(|m| {
+                m.usable()
+                    && m.images.contains_key(image)
+                    && self.now.steady_ms >= m.no_room_until_ms
+                    && self.free_room(m).fits(&need)
+            })
+        })
+    }
+
+    fn bind(&mut self, key: TaskKey, ix: MachineIx) {
+        let attempt = self.next_attempt();
+        let Some(task) = self.jobs.task_mut(key) else { return };
+        task.slack = 0;
+        let probes: Vec<MachineIx> = task.probes.iter().map(|p| p.machine).collect();
+        for p in probes {
+            if let Some(m) = self.machines.get_mut(p) {
+                m.queue.retain(|k| *k != key);
+            }
+        }
+        self.task_to(key, TaskState::Starting { machine: ix, attempt });
+        if let Some(m) = self.machines.get_mut(ix) {
+            m.outbox.push((key, attempt));
+        }
+        self.needs_orders.insert(ix);
+    }
+
+    /// Makes room for waiting tasks of higher priority by stopping lower ones,
+    /// cheapest loss first.
+    pub(crate) fn preempt(&mut self) {
+        let mut asking: Vec<(Rank, u64, TaskKey)> = Vec::new();
+        for (ix, job) in self.jobs.iter() {
+            if job.state != JobState::Live || job.waiting == 0 || job.spec.rank < Rank::High {
+                continue;
+            }
+            for (n, t) in job.tasks() {
+                let key = TaskKey { job: ix, task: n };
+                let may = t.probes.iter().any(|p| self.startable(job, key, t, p.machine));
+                if may {
+                    asking.push((job.spec.rank, t.arrived, key));
+                }
+            }
+        }
+        asking.sort_by_key(|(rank, at, _)| (std::cmp::Reverse(*rank), *at));
+        // Room that is being made already, by machine.
+        let mut promised: BTreeMap<MachineIx, Room> = BTreeMap::new();
+        for (rank, _, key) in asking {
+            self.preempt_for(key, rank, &mut promised);
+        }
+    }
+
+    fn preempt_for(&mut self, key: TaskKey, rank: Rank, promised: &mut BTreeMap<MachineIx, Room>) {
+        let Some(job) = self.jobs.get(key.job) else { return };
+        let Some(task) = job.task(key.task) else { return };
+        let need = job.room();
+        let mut best: Option<(f64, MachineIx, Vec<TaskKey>)> = None;
+        for p in &task.probes {
+            if !self.startable(job, key, task, p.machine) {
+                continue;
+            }
+            let Some(m) = self.machines.get(p.machine) else { continue };
+            if !m.usable() {
+                continue;
+            }
+            let mut room = self.free_room(m);
+            let mut victims: Vec<(f64, TaskKey, Room)> = Vec::new();
+            for k in m.tasks.keys() {
+                let Some(j) = self.jobs.get(k.job) else { continue };
+                let Some(t) = j.task(k.task) else { continue };
+                match t.state {
+                    TaskState::Stopping { .. } => room.add(&j.room(), 1.0),
+                    TaskState::On { .. } | TaskState::Starting { .. } if j.spec.rank < rank => {
+                        victims.push((self.loss_of(j, t), *k, j.room()))
+                    }
+                    _ => {}
+                }
+            }
+            if let Some(taken) = promised.get(&p.machine) {
+                room.add(taken, -1.0);
+            }
+            victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let (mut cost, mut chosen) = (0.0, Vec::new());
+            for (loss, k, r) in victims {
+                if room.fits(&need) {
+                    break;
+                }
+                room.add(&r, 1.0);
+                cost += loss;
+                chosen.push(k);
+            }
+            if room.fits(&need) && best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
+                best = Some((cost, p.machine, chosen));
+            }
+        }
+        let Some((_, machine, victims)) = best else { return };
+        promised.entry(machine).or_default().add(&need, 1.0);
+        for k in victims {
+            self.stop_task(k, "making room for higher priority");
+        }
+    }
+
+    /// What stopping a task costs, in seconds of work.
+    fn loss_of(&self, job: &Job, task: &Task) -> f64 {
+        let TaskState::On { status: TaskStatus::Running, since_ms, .. } = task.state else {
+            return 0.0;
+        };
+        let ran = (self.now.steady_ms - since_ms) as f64 / 1000.0;
+        let rank = match job.spec.rank {
+            Rank::Low => 0.0,
+            Rank::Normal => 1000.0,
+            Rank::High => 2000.0,
+            Rank::Production => 3000.0,
+        };
+        let lost = if job.spec.checkpoint_s > 0.0 { job.spec.save_s } else { ran };
+        rank + job.spec.cpus * lost
+    }
+
+    /// Tells a task to stop; it saves if it can.
+    pub(crate) fn stop_task(&mut self, key: TaskKey, why: &str) {
+        let Some(job) = self.jobs.get(key.job) else { return };
+        let Some(task) = job.task(key.task) else { return };
+        let (machine, attempt) = match task.state {
+            TaskState::On { machine, attempt, .. } => (machine, attempt),
+            _ => return,
+        };
+        let grace = job.spec.checkpoint_s > 0.0;
+        tracing::debug!(job = %job.id, task = key.task, why, "stopping");
+        self.task_to(key, TaskState::Stopping { machine, attempt, grace });
+        self.needs_orders.insert(machine);
+    }
+
+    /// Machines that will be taken, or are faulty: what can save is told to.
+    pub(crate) fn drain(&mut self) {
+        let now = self.now.steady_ms;
+        let slack = 2 * self.cfg.report_ms();
+        let mut stop: Vec<TaskKey> = Vec::new();
+        for (_, m) in self.machines.iter() {
+            if m.recall_ms.is_none() && !m.quarantined {
+                continue;
+            }
+            let left_ms = m.recall_ms.map(|r| r.saturating_sub(now));
+            for k in m.tasks.keys() {
+                let Some(j) = self.jobs.get(k.job) else { continue };
+                let Some(t) = j.task(k.task) else { continue };
+                let TaskState::On { status, .. } = t.state else { continue };
+                let saves = j.spec.checkpoint_s > 0.0;
+                let save_ms = (j.spec.save_s * 1500.0) as u64 + slack;
+                // A saver runs on until just before it must save; the rest may finish.
+                let due = match left_ms {
+                    Some(left) => saves && left <= save_ms || status != TaskStatus::Running,
+                    None => true,
+                };
+                if due {
+                    stop.push(*k);
+                }
+            }
+        }
+        for k in stop {
+            self.stop_task(k, "draining its machine");
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/jobs.rs
@@ -0,0 +1,456 @@
+//! Jobs and tasks in the leader's memory, and the one function that changes a
+//! task's state.
+
+use std::collections::{BTreeMap, HashMap};
+
+use quartzgate_wire::msg::{JobAnswer, JobSpec, JobStatus, TaskStatus};
+
+use crate::controller::Controller;
+use crate::ids::{JobIx, MachineIx, TaskKey};
+use crate::machines::Room;
+use crate::records::{ranges, ProbeSet, RecordedStatus, ShareRecord, CHUNK};
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum TaskState {
+    /// Not dealt: in no share, on no machine.
+    Undealt,
+    /// Dealt and provably on no machine: may be bound.
+    Waiting,
+    /// May be on a machine where an earlier owner could have started it.
+    Unproven,
+    /// Bound: its start has been ordered, or is about to be.
+    Starting { machine: MachineIx, attempt: u64 },
+    /// Reported by its machine.
+    On { machine: MachineIx, attempt: u64, status: TaskStatus, since_ms: u64 },
+    /// Told to stop, still on its machine.
+    Stopping { machine: MachineIx, attempt: u64, grace: bool },
+    /// Completed; on record once its chunk's record has reached this version.
+    Done { version: u32 },
+    /// Its job was aborted and it is provably on no machine.
+    Dropped,
+}
+
+impl TaskState {
+    /// Machine that the task occupies, as far as this owner knows.
+    pub fn machine(&self) -> Option<(MachineIx, u64)> {
+        match *self {
+            TaskState::Starting { machine, attempt }
+            | TaskState::On { machine, attempt, .. }
+            | TaskState::Stopping { machine, attempt, .. } => Some((machine, attempt)),
+            _ => None,
+        }
+    }
+
+    /// Counts against the team's limit: dealt, and not provably ended.
+    pub fn licensed(&self) -> bool {
+        !matches!(self, TaskState::Undealt | TaskState::Done { .. } | TaskState::Dropped)
+    }
+}
+
+/// A machine that a task may be bound to once the record that names it stands.
+#[derive(Clone, Copy, Debug)]
+pub struct Probe {
+    pub machine: MachineIx,
+    /// The chunk's version from which on the record names this machine.
+    pub version: u32,
+    /// An earlier owner may have started the task here.
+    pub unproven: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Task {
+    pub state: TaskState,
+    pub probes: Vec<Probe>,
+    /// Zone fixed by the deal, for jobs with a zone rule.
+    pub zone: Option<u16>,
+    pub slack: u32,
+    pub arrived: u64,
+    pub since_ms: u64,
+    pub failures: u32,
+    pub not_before_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Chunk {
+    pub tasks: Vec<Task>,
+    /// The record lags behind memory.
+    pub dirty: bool,
+    /// A write or a read of the record is under way.
+    pub busy: bool,
+    /// Version of the newest record sent, and of the newest known to stand.
+    pub version: u32,
+    pub acked: u32,
+    pub stamp: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobState {
+    /// The acceptance is being recorded.
+    Recording,
+    Live,
+    /// An abort may have been recorded; until that is known nothing starts.
+    Doubtful,
+    /// Aborted on record; shares remain until no task is on a machine.
+    Aborted,
+    /// All tasks are done; this is being recorded.
+    Finishing,
+    Done,
+    /// Its record can't be read: left alone, loudly.
+    Unreadable,
+}
+
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub id: String,
+    pub spec: JobSpec,
+    pub team: usize,
+    pub state: JobState,
+    pub stamp: u64,
+    pub at_ms: u64,
+    pub chunks: BTreeMap<u32, Chunk>,
+    pub done_chunks: Vec<(u32, u32)>,
+    /// A write or a read of the job's own record is under way.
+    pub busy: bool,
+    /// Zone fixed for the whole job (`together`).
+    pub zone: Option<u16>,
+    pub done: u32,
+    pub on: u32,
+    /// Tasks dealt and waiting for a machine.
+    pub waiting: u32,
+    /// First task that has not been dealt.
+    pub next: u32,
+    pub errors_on: Vec<MachineIx>,
+}
+
+impl Job {
+    pub fn room(&self) -> Room {
+        Room { cpus: self.spec.cpus, gpus: self.spec.gpus, memory_gb: self.spec.memory_gb }
+    }
+
+    pub fn task(&self, task: u32) -> Option<&Task> {
+        self.chunks.get(&(task / CHUNK))?.tasks.get((task % CHUNK) as usize)
+    }
+
+    pub fn task_mut(&mut self, task: u32) -> Option<&mut Task> {
+        self.chunks.get_mut(&(task / CHUNK))?.tasks.get_mut((task % CHUNK) as usize)
+    }
+
+    pub fn chunk_of(&mut self, task: u32) -> Option<&mut Chunk> {
+        self.chunks.get_mut(&(task / CHUNK))
+    }
+
+    pub fn in_done_chunk(&self, task: u32) -> bool {
+        let c = task / CHUNK;
+        self.done_chunks.iter().any(|(a, b)| (*a..=*b).contains(&c))
+    }
+
+    pub fn answer(&self) -> JobAnswer {
+        let status = match self.state {
+            JobState::Done => JobStatus::Done,
+            JobState::Aborted => JobStatus::Aborted,
+            _ if self.on > 0 => JobStatus::Running,
+            _ => JobStatus::Queued,
+        };
+        let count = |n| matches!(status, JobStatus::Queued | JobStatus::Running).then_some(n);
+        JobAnswer { id: self.id.clone(), status, done: count(self.done), running: count(self.on) }
+    }
+
+    pub fn tasks(&self) -> impl Iterator<Item = (u32, &Task)> {
+        self.chunks.iter().flat_map(|(c, chunk)| {
+            chunk.tasks.iter().enumerate().map(move |(i, t)| (c * CHUNK + i as u32, t))
+        })
+    }
+
+    /// Number of tasks in a chunk.
+    pub fn chunk_len(&self, chunk: u32) -> u32 {
+        (self.spec.tasks - chunk * CHUNK).min(CHUNK)
+    }
+
+    /// How many chunks the job's tasks make.
+    pub fn chunk_count(&self) -> u32 {
+        self.spec.tasks.div_ceil(CHUNK)
+    }
+}
+
+#[derive(Default)]
+pub struct Jobs {
+    table: BTreeMap<JobIx, Job>,
+    by_id: HashMap<String, JobIx>,
+    next: u32,
+}
+
+impl Jobs {
+    pub fn get(&self, ix: JobIx) -> Option<&Job> {
+        self.table.get(&ix)
+    }
+
+    pub fn get_mut(&mut self, ix: JobIx) -> Option<&mut Job> {
+        self.table.get_mut(&ix)
+    }
+
+    pub fn find(&self, id: &str) -> Option<JobIx> {
+        self.by_id.get(id).copied()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (JobIx, &Job)> {
+        self.table.iter().map(|(ix, j)| (*ix, j))
+    }
+
+    pub fn indexes(&self) -> Vec<JobIx> {
+        self.table.keys().copied().collect()
+    }
+
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    pub fn insert(&mut self, job: Job) -> JobIx {
+        let ix = JobIx(self.next);
+        self.next += 1;
+        self.by_id.insert(job.id.clone(), ix);
+        self.table.insert(ix, job);
+        ix
+    }
+
+    pub fn remove(&mut self, ix: JobIx) -> Option<Job> {
+        let job = self.table.remove(&ix)?;
+        self.by_id.remove(&job.id);
+        Some(job)
+    }
+
+    pub fn task(&self, key: TaskKey) -> Option<&Task> {
+        self.get(key.job)?.task(key.task)
+    }
+
+    pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        self.get_mut(key.job)?.task_mut(key.task)
+    }
+}
+
+impl Controller {
+    /// A job as it first stands in memory.
+    pub(crate) fn new_job(
+        &self,
+        spec: JobSpec,
+        team: usize,
+        state: JobState,
+        stamp: u64,
+        at_ms: u64,
+    ) -> Job {
+        Job {
+            id: spec.id.clone(),
+            spec,
+            team,
+            state,
+            stamp,
+            at_ms,
+            chunks: BTreeMap::new(),
+            done_chunks: Vec::new(),
+            busy: false,
+            zone: None,
+            done: 0,
+            on: 0,
+            waiting: 0,
+            next: 0,
+            errors_on: Vec::new(),
+        }
+    }
+
+    pub(crate) fn new_chunk(&mut self, len: u32) -> Chunk {
+        let tasks = (0..len)
+            .map(|_| {
+                self.arrivals += 1;
+                Task {
+                    state: TaskState::Undealt,
+                    probes: Vec::new(),
+                    zone: None,
+                    slack: 0,
+                    arrived: self.arrivals,
+                    since_ms: self.now.steady_ms,
+                    failures: 0,
+                    not_before_ms: 0,
+                }
+            })
+            .collect();
+        Chunk { tasks, dirty: false, busy: false, version: 0, acked: 0, stamp: 0 }
+    }
+
+    /// The one function that changes a task's state. It keeps the machines' room,
+    /// the teams' licences and the jobs' counts in step.
+    pub(crate) fn task_to(&mut self, key: TaskKey, state: TaskState) {
+        let now = self.now.steady_ms;
+        let Some(job) = self.jobs.get_mut(key.job) else { return };
+        let (room, team) = (job.room(), job.team);
+        let Some(task) = job.task_mut(key.task) else { return };
+        let old = std::mem::replace(&mut task.state, state);
+        let moved = std::mem::discriminant(&old) != std::mem::discriminant(&state);
+        if moved {
+            task.since_ms = now;
+        }
+        let waits = |s: &TaskState| matches!(s, TaskState::Waiting);
+        let on = |s: &TaskState| matches!(s, TaskState::On { .. } | TaskState::Stopping { .. });
+        let done = |s: &TaskState| matches!(s, TaskState::Done { .. });
+        job.waiting = job.waiting + u32::from(waits(&state)) - u32::from(waits(&old));
+        job.on = job.on + u32::from(on(&state)) - u32::from(on(&old));
+        job.done = job.done + u32::from(done(&state)) - u32::from(done(&old));
+        if old.licensed() != state.licensed() {
+            let sign = if state.licensed() { 1.0 } else { -1.0 };
+            self.teams[team].licensed.add(&room, sign);
+            self.deal_due = true;
+        }
+        if old.machine() != state.machine() {
+            if let Some((ix, _)) = old.machine() {
+                self.teams[team].placed.add(&room, -1.0);
+                if let Some(m) = self.machines.get_mut(ix) {
+                    m.tasks.remove(&key);
+                    m.used.add(&room, -1.0);
+                    if m.tasks.is_empty() {
+                        m.used = Room::default();
+                        m.idle_since_ms = now;
+                    }
+                }
+                self.touched.insert(ix);
+            }
+            if let Some((ix, attempt)) = state.machine() {
+                self.teams[team].placed.add(&room, 1.0);
+                if let Some(m) = self.machines.get_mut(ix) {
+                    m.tasks.insert(key, attempt);
+                    m.used.add(&room, 1.0);
+                }
+            }
+        }
+        if state == TaskState::Dropped {
+            self.store.touch_job(key.job);
+        }
+        if waits(&state) && !waits(&old) {
+            self.enqueue(key);
+        }
+    }
+
+    /// The one function that changes a job's state.
+    pub(crate) fn job_to(&mut self, ix: JobIx, state: JobState) {
+        let Some(job) = self.jobs.get_mut(ix) else { return };
+        let old = std::mem::replace(&mut job.state, state);
+        if old == state {
+            return;
+        }
+        match state {
+            JobState::Aborted => {
+                tracing::info!(job = %job.id, "aborted");
+                let keys: Vec<u32> = job.tasks().map(|(t, _)| t).collect();
+                for task in keys {
+                    let key = TaskKey { job: ix, task };
+                    match self.jobs.task(key).map(|t| t.state) {
+                        Some(TaskState::Waiting | TaskState::Undealt) => {
+                            self.task_to(key, TaskState::Dropped)
+                        }
+                        Some(
+                            TaskState::Starting { machine, .. } | TaskState::On { machine, .. },
+                        ) => {
+                            self.needs_orders.insert(machine);
+                        }
+                        _ => {}
+                    }
+                }
+                self.remember_final(ix, RecordedStatus::Aborted);
+            }
+            JobState::Done => {
+                tracing::debug!(job = %job.id, "done");
+                self.remember_final(ix, RecordedStatus::Done);
+            }
+            JobState::Live if old == JobState::Doubtful => self.touch_all(),
+            _ => {}
+        }
+    }
+
+    fn remember_final(&mut self, ix: JobIx, status: RecordedStatus) {
+        if let Some(job) = self.jobs.get(ix) {
+            self.finals.insert(job.id.clone(), status);
+        }
+    }
+
+    /// The record of a chunk as memory stands now; bumps the chunk's version.
+    pub(crate) fn share_record(&mut self, ix: JobIx, chunk: u32) -> Option<ShareRecord> {
+        let epoch = self.epoch();
+        let zones = &self.cfg.platform.params.zones;
+        let job = self.jobs.get_mut(ix)?;
+        let fixed = job.spec.spread || job.spec.together;
+        let c = job.chunks.get_mut(&chunk)?;
+        c.version += 1;
+        let mut record = ShareRecord { epoch, ..Default::default() };
+        let first = chunk * CHUNK;
+        let mut names: BTreeMap<MachineIx, u32> = BTreeMap::new();
+        let done = c
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, t)| matches!(t.state, TaskState::Done { .. }))
+            .map(|(i, _)| first + i as u32);
+        record.done = ranges(done);
+        for (i, task) in c.tasks.iter().enumerate() {
+            if !task.state.licensed() {
+                continue;
+            }
+            let n = first + i as u32;
+            let mut set = Vec::with_capacity(task.probes.len());
+            for p in &task.probes {
+                let Some(m) = self.machines.get(p.machine) else { continue };
+                let at = *names.entry(p.machine).or_insert_with(|| {
+                    record.machines.push(m.name.clone());
+                    record.machines.len() as u32 - 1
+                });
+                set.push(at);
+            }
+            set.sort_unstable();
+            match record.sets.last_mut() {
+                Some(last) if last.to + 1 == n && last.machines == set => last.to = n,
+                _ => record.sets.push(ProbeSet { from: n, to: n, machines: set }),
+            }
+        }
+        if fixed {
+            record.zones = c
+                .tasks
+                .iter()
+                .map(|t| t.zone.map_or(String::new(), |z| zones[z as usize].clone()))
+                .collect();
+        }
+        Some(record)
+    }
+
+    /// A task has left its machine without being done: it waits again, or is gone
+    /// with its job.
+    pub(crate) fn task_off(&mut self, key: TaskKey) {
+        let Some(job) = self.jobs.get(key.job) else { return };
+        let aborted = job.state == JobState::Aborted;
+        let Some(task) = job.task(key.task) else { return };
+        let next = if task.probes.iter().any(|p| p.unproven) {
+            TaskState::Unproven
+        } else if aborted {
+            TaskState::Dropped
+        } else {
+            TaskState::Waiting
+        };
+        self.task_to(key, next);
+    }
+
+    /// A task is done, wherever that was seen.
+    pub(crate) fn task_done(&mut self, key: TaskKey) {
+        let Some(job) = self.jobs.get_mut(key.job) else { return };
+        if matches!(job.state, JobState::Done | JobState::Finishing) {
+            return;
+        }
+        let Some(chunk) = job.chunk_of(key.task) else { return };
+        chunk.dirty = true;
+        let version = chunk.version + 1;
+        let seen = matches!(
+            chunk.tasks.get((key.task % CHUNK) as usize).map(|t| t.state),
+            Some(TaskState::Done { .. }) | None
+        );
+        if seen {
+            return;
+        }
+        self.task_to(key, TaskState::Done { version });
+        self.mark_dirty(key.job, key.task / CHUNK);
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,87 @@
+//! The scheduling core of quartzgate: decides everything, does no input or output.
+//!
+//! The daemon feeds [`Event`]s together with the present time and carries out the
+//! [`Action`]s that come back. Nothing here reads a clock, a socket or a file, and
+//! random numbers come from a generator that is passed in, so that every story can
+//! be told again in a test.
+
+mod api;
+mod budget;
+mod cloud;
+pub mod config;
+mod controller;
+mod deal;
+mod dispatch;
+mod ids;
+mod jobs;
+mod machines;
+mod member;
+pub mod queue;
+pub mod records;
+mod restore;
+mod store;
+pub mod wait;
+
+pub use controller::Controller;
+
+use quartzgate_wire::http::{Request, Response};
+
+/// Names a request that came in and waits for its answer.
+pub type RequestId = u64;
+/// Names a call of ours that waits for its outcome.
+pub type CallId = u64;
+
+/// The present, as the daemon's clocks show it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Now {
+    /// Steady clock, milliseconds since some fixed moment.
+    pub steady_ms: u64,
+    /// Time of day, milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+}
+
+#[derive(Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A request on the address for users, workers and health checks.
+    Client { id: RequestId, request: Request },
+    /// A request of another controller.
+    Mesh { id: RequestId, request: Request },
+    /// How one of our calls ended.
+    Outcome { call: CallId, outcome: Outcome },
+}
+
+#[derive(Debug)]
+pub enum Outcome {
+    Answer(Response),
+    /// Nothing of the request left this process: it can't have any effect.
+    NotSent,
+    /// No answer; the request may have been executed, or may be executed later.
+    Lost,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Peer {
+    State,
+    Cloud,
+    Worker(std::net::SocketAddr),
+    /// Another controller, by its place in the settings.
+    Sibling(usize),
+}
+
+#[derive(Debug)]
+pub enum Action {
+    Answer { id: RequestId, response: Response },
+    Call(Call),
+}
+
+#[derive(Debug)]
+pub struct Call {
+    pub id: CallId,
+    pub peer: Peer,
+    pub method: &'static str,
+    pub target: String,
+    pub body: Vec<u8>,
+    pub timeout_ms: u64,
+}
--- /dev/null
+++ b/crates/core/src/machines.rs
@@ -0,0 +1,686 @@
+//! Machines: what their reports prove, what they are told, when they are presumed
+//! empty.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use quartzgate_wire::http::Response;
+use quartzgate_wire::msg::{Cause, Order, OrdersRequest, Redirect, Report, ReportAnswer};
+use quartzgate_wire::msg::{ReportTask, TaskStatus};
+use quartzgate_wire::{from_cbor, to_cbor};
+
+use crate::controller::{Controller, Pending};
+use crate::ids::{epoch_of, in_epoch, parse_task, task_name, MachineIx, TaskKey};
+use crate::jobs::{JobState, TaskState};
+use crate::{Outcome, Peer, RequestId};
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Room {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+impl Room {
+    pub fn add(&mut self, other: &Room, times: f64) {
+        self.cpus += other.cpus * times;
+        self.gpus += other.gpus * times;
+        self.memory_gb += other.memory_gb * times;
+    }
+
+    pub fn minus(&self, other: &Room) -> Room {
+        let mut r = *self;
+        r.add(other, -1.0);
+        r
+    }
+
+    /// Whether `need` fits, forgiving what binary fractions lose.
+    pub fn fits(&self, need: &Room) -> bool {
+        const DUST: f64 = 1e-6;
+        self.cpus + DUST >= need.cpus
+            && self.gpus + DUST >= need.gpus
+            && self.memory_gb + DUST >= need.memory_gb
+    }
+
+    /// How many tasks of `need` fit.
+    pub fn holds(&self, need: &Room) -> u32 {
+        let part = |have: f64, want: f64| if want > 0.0 { (have + 1e-6) / want } else { 1e6 };
+        let least = part(self.cpus, need.cpus)
+            .min(part(self.gpus, need.gpus))
+            .min(part(self.memory_gb, need.memory_gb));
+        least.max(0.0) as u32
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MachineState {
+    /// Hired or named in a record, never heard under this owner.
+    Unheard,
+    /// Heard, but has not shown our token yet.
+    Greeted,
+    /// Shows our token: its reports are the truth.
+    Ready,
+    /// Silent for longer than its lease: its tasks are gone.
+    Presumed,
+    /// Being returned.
+    Returning,
+    /// Returned, failed or taken: nothing can be on it.
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub name: String,
+    pub addr: Option<SocketAddr>,
+    pub kind: String,
+    pub zone: Option<u16>,
+    pub spot: bool,
+    pub state: MachineState,
+    pub tenure: u64,
+    pub seq: u64,
+    pub token_seen: u64,
+    /// Token that we command it with: the epoch and a counter that rises whenever
+    /// an order's fate is unknown, so that a late order can't match.
+    pub token: u64,
+    /// When we last answered one of its reports.
+    pub answered_ms: Option<u64>,
+    /// When anything of its last reached us.
+    pub heard_ms: u64,
+    pub since_ms: u64,
+    pub recall_ms: Option<u64>,
+    pub tasks: BTreeMap<TaskKey, u64>,
+    pub queue: Vec<TaskKey>,
+    /// Tasks that an earlier owner may have started here.
+    pub unproven: Vec<TaskKey>,
+    pub used: Room,
+    pub idle_since_ms: u64,
+    /// Starts bound here and not sent yet.
+    pub outbox: Vec<(TaskKey, u64)>,
+    /// A call with orders is under way.
+    pub calling: bool,
+    pub reported: Vec<ReportTask>,
+    /// The newest report began a session: all of earlier ones is gone.
+    pub fresh_session: bool,
+    pub images: BTreeMap<String, u64>,
+    /// Jobs whose tasks failed here since one last completed.
+    pub failed_jobs: Vec<String>,
+    pub quarantined: bool,
+    pub no_room_until_ms: u64,
+    /// Age by the cloud's list, if it was listed.
+    pub listed: bool,
+    pub probed_ms: u64,
+}
+
+impl Machine {
+    pub fn usable(&self) -> bool {
+        self.state == MachineState::Ready && !self.quarantined && self.recall_ms.is_none()
+    }
+}
+
+#[derive(Default)]
+pub struct Machines {
+    table: BTreeMap<MachineIx, Machine>,
+    by_name: HashMap<String, MachineIx>,
+    next: u32,
+}
+
+impl Machines {
+    pub fn get(&self, ix: MachineIx) -> Option<&Machine> {
+        self.table.get(&ix)
+    }
+
+    pub fn get_mut(&mut self, ix: MachineIx) -> Option<&mut Machine> {
+        self.table.get_mut(&ix)
+    }
+
+    pub fn find(&self, name: &str) -> Option<MachineIx> {
+        self.by_name.get(name).copied()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (MachineIx, &Machine)> {
+        self.table.iter().map(|(ix, m)| (*ix, m))
+    }
+
+    pub fn indexes(&self) -> Vec<MachineIx> {
+        self.table.keys().copied().collect()
+    }
+
+    pub fn remove(&mut self, ix: MachineIx) {
+        if let Some(m) = self.table.remove(&ix) {
+            self.by_name.remove(&m.name);
+        }
+    }
+}
+
+impl Controller {
+    pub(crate) fn machine(&mut self, name: &str) -> MachineIx {
+        if let Some(ix) = self.machines.find(name) {
+            return ix;
+        }
+        let ix = MachineIx(self.machines.next);
+        self.machines.next += 1;
+        let now = self.now.steady_ms;
+        let machine = Machine {
+            name: name.to_string(),
+            addr: None,
+            kind: String::new(),
+            zone: None,
+            spot: false,
+            state: MachineState::Unheard,
+            tenure: 0,
+            seq: 0,
+            token_seen: 0,
+            token: in_epoch(self.epoch(), 0),
+            answered_ms: None,
+            heard_ms: 0,
+            since_ms: now,
+            recall_ms: None,
+            tasks: BTreeMap::new(),
+            queue: Vec::new(),
+            unproven: Vec::new(),
+            used: Room::default(),
+            idle_since_ms: now,
+            outbox: Vec::new(),
+            calling: false,
+            reported: Vec::new(),
+            fresh_session: false,
+            images: BTreeMap::new(),
+            failed_jobs: Vec::new(),
+            quarantined: false,
+            no_room_until_ms: 0,
+            listed: false,
+            probed_ms: 0,
+        };
+        self.machines.by_name.insert(name.to_string(), ix);
+        self.machines.table.insert(ix, machine);
+        ix
+    }
+
+    /// The one function that changes a machine's state.
+    pub(crate) fn machine_to(&mut self, ix: MachineIx, state: MachineState) {
+        let epoch = self.epoch();
+        let Some(m) = self.machines.get_mut(ix) else { return };
+        let old = std::mem::replace(&mut m.state, state);
+        if old == state {
+            return;
+        }
+        match state {
+            MachineState::Ready => {
+                if matches!(old, MachineState::Unheard | MachineState::Greeted) {
+                    tracing::debug!(machine = %m.name, "ready");
+                }
+                self.touched.insert(ix);
+                self.supply_changed = true;
+            }
+            MachineState::Presumed | MachineState::Gone => {
+                // Orders still under way must not match when they arrive.
+                m.token = in_epoch(epoch, (m.token & 0xff_ffff) + 1);
+                m.reported.clear();
+                m.outbox.clear();
+                m.images.clear();
+                m.idle_since_ms = self.now.steady_ms;
+                let unproven = std::mem::take(&mut m.unproven);
+                let lost: Vec<TaskKey> = m.tasks.keys().copied().collect();
+                tracing::info!(machine = %m.name, ?state, tasks = lost.len(), "machine empty");
+                for key in lost {
+                    self.task_off(key);
+                }
+                self.proven_free(ix, unproven);
+                self.requeue_probes(ix);
+                self.supply_changed = true;
+            }
+            _ => {}
+        }
+    }
+
+    /// None of these tasks can be on the machine any more.
+    fn proven_free(&mut self, ix: MachineIx, keys: Vec<TaskKey>) {
+        for key in keys {
+            let Some(task) = self.jobs.task_mut(key) else { continue };
+            for p in task.probes.iter_mut().filter(|p| p.machine == ix) {
+                p.unproven = false;
+            }
+            if task.state == TaskState::Unproven && !task.probes.iter().any(|p| p.unproven) {
+                self.task_off(key);
+            }
+        }
+    }
+
+    /// The machine will take no task: its queue's tasks need other probes.
+    fn requeue_probes(&mut self, ix: MachineIx) {
+        let Some(m) = self.machines.get_mut(ix) else { return };
+        let queue = std::mem::take(&mut m.queue);
+        if !queue.is_empty() {
+            self.reprobe_due = true;
+        }
+    }
+
+    /// A worker's report: `POST /checkin`.
+    pub(crate) fn on_checkin(&mut self, id: RequestId, body: &[u8]) {
+        let report: Report = match from_cbor(body) {
+            Ok(r) => r,
+            Err(e) => return self.answer_error(id, 400, &e.to_string()),
+        };
+        if !sane(&report) {
+            return self.answer_error(id, 400, "senseless report");
+        }
+        if epoch_of(report.token) > self.epoch() && self.leads() {
+            tracing::info!(machine = %report.machine, "superseded: a worker has seen a later epoch");
+            self.superseded();
+        }
+        if !self.commands_workers() {
+            let owner = self.known_leader().filter(|l| *l != self.cfg.platform.node);
+            let body = to_cbor(&Redirect { owner });
+            return self.answer(id, Response::new(421, body));
+        }
+        let ix = self.machine(&report.machine);
+        self.observe(ix, report);
+        let now = self.now.steady_ms;
+        let orders = self.standing_orders(ix);
+        let Some(m) = self.machines.get_mut(ix) else { return };
+        m.answered_ms = Some(now);
+        let body = to_cbor(&ReportAnswer { token: m.token, orders });
+        self.answer(id, Response::new(200, body));
+    }
+
+    /// Takes in a report, whether it came by itself or as the answer to orders.
+    /// An older one than the newest known says nothing.
+    pub(crate) fn observe(&mut self, ix: MachineIx, report: Report) {
+        let now = self.now.steady_ms;
+        let zone = self.zone_ix(&report.zone);
+        let Some(m) = self.machines.get_mut(ix) else { return };
+        m.heard_ms = now;
+        if matches!(m.state, MachineState::Gone | MachineState::Returning) {
+            return;
+        }
+        if (report.tenure, report.seq) <= (m.tenure, m.seq) {
+            return;
+        }
+        let new_session = report.tenure > m.tenure;
+        (m.tenure, m.seq, m.token_seen) = (report.tenure, report.seq, report.token);
+        m.addr = report.addr.parse().ok();
+        m.kind = report.kind;
+        m.zone = zone;
+        m.spot = report.spot;
+        if let Some(s) = report.notice_s {
+            let at = now + (s.max(0.0) * 1000.0) as u64;
+            if m.recall_ms.is_none() {
+                tracing::info!(machine = %m.name, in_s = s, "machine will be taken away");
+                self.drain_due = true;
+            }
+            m.recall_ms = Some(at);
+        } else if m.recall_ms.take().is_some() {
+            self.touched.insert(ix);
+        }
+        let Some(m) = self.machines.get_mut(ix) else { return };
+        m.token = m.token.max(m.token_seen);
+        m.reported = report.tasks;
+        m.fresh_session = new_session;
+        self.settle(ix);
+    }
+
+    /// Draws the consequences of a machine's newest report.
+    pub(crate) fn settle(&mut self, ix: MachineIx) {
+        let base = in_epoch(self.epoch(), 0);
+        let Some(m) = self.machines.get_mut(ix) else { return };
+        if m.heard_ms == 0 || matches!(m.state, MachineState::Gone | MachineState::Returning) {
+            return;
+        }
+        let new_session = std::mem::take(&mut m.fresh_session);
+        let knows_epoch = m.token_seen >= base;
+        let knows_token = m.token_seen >= m.token;
+        let settled = knows_token && !m.calling;
+        let reported = m.reported.clone();
+        let mut listed: Vec<TaskKey> = Vec::with_capacity(reported.len());
+        let exited = |r: &&ReportTask| r.status == TaskStatus::Exited;
+        for r in reported.iter().filter(exited) {
+            self.reported_task(ix, r);
+        }
+        for r in reported.iter().filter(|r| !exited(r)) {
+            listed.extend(self.reported_task(ix, r));
+        }
+        // What the machine does not list is not on it, if nothing of ours is under way.
+        let Some(m) = self.machines.get_mut(ix) else { return };
+        let outbox: Vec<TaskKey> = m.outbox.iter().map(|(k, _)| *k).collect();
+        let missing: Vec<(TaskKey, u64)> = m
+            .tasks
+            .iter()
+            .filter(|(k, _)| !listed.contains(k) && !outbox.contains(k))
+            .map(|(k, a)| (*k, *a))
+            .collect();
+        for (key, _) in missing {
+            let starting =
+                matches!(self.jobs.task(key).map(|t| t.state), Some(TaskState::Starting { .. }));
+            if !starting || settled || new_session {
+                tracing::debug!(job = ?key, "task is no longer on its machine");
+                self.task_off(key);
+            }
+        }
+        if knows_epoch {
+            if let Some(m) = self.machines.get_mut(ix) {
+                let unproven = std::mem::take(&mut m.unproven);
+                let (held, free): (Vec<_>, Vec<_>) =
+                    unproven.into_iter().partition(|k| m.tasks.contains_key(k));
+                // A task that it lists is its own business now: the flag goes as well.
+                self.proven_free(ix, free);
+                for key in held {
+                    if let Some(t) = self.jobs.task_mut(key) {
+                        for p in t.probes.iter_mut().filter(|p| p.machine == ix) {
+                            p.unproven = false;
+                        }
+                    }
+                }
+            }
+            self.machine_to(ix, MachineState::Ready);
+        } else {
+            self.machine_to(ix, MachineState::Greeted);
+            self.needs_orders.insert(ix);
+        }
+        if !knows_token {
+            self.needs_orders.insert(ix);
+        }
+        self.touched.insert(ix);
+    }
+
+    /// One task of a report. Returns its key if it is alive here.
+    fn reported_task(&mut self, ix: MachineIx, r: &ReportTask) -> Option<TaskKey> {
+        let (job_id, n) = parse_task(&r.task)?;
+        let job_ix = self.jobs.find(job_id)?;
+        let key = TaskKey { job: job_ix, task: n };
+        let job = self.jobs.get(job_ix)?;
+        let image = job.spec.image.clone();
+        let state = job.task(n)?.state;
+        let mine = state.machine() == Some((ix, r.attempt));
+        if r.status == TaskStatus::Exited {
+            match r.cause {
+                Some(Cause::Done) => {
+                    if let Some(m) = self.machines.get_mut(ix) {
+                        m.failed_jobs.clear();
+                    }
+                    self.task_done(key);
+                }
+                _ if !mine => {}
+                Some(Cause::Error) => {
+                    self.task_failed(ix, key);
+                    self.task_off(key);
+                }
+                Some(Cause::NoRoom) => {
+                    let until = self.now.steady_ms + self.cfg.report_ms();
+                    if let Some(m) = self.machines.get_mut(ix) {
+                        m.no_room_until_ms = until;
+                        tracing::info!(machine = %m.name, task = %r.task, "start refused: no room");
+                    }
+                    self.task_off(key);
+                }
+                Some(Cause::Unknown) => {
+                    self.back_off(key);
+                    self.task_off(key);
+                }
+                _ => self.task_off(key),
+            }
+            return None;
+        }
+        let now = self.now.steady_ms;
+        if r.status != TaskStatus::Fetching {
+            if let Some(m) = self.machines.get_mut(ix) {
+                m.images.insert(image, now);
+            }
+        }
+        match state {
+            TaskState::Starting { machine, attempt } if machine == ix && attempt == r.attempt => {
+                let state = TaskState::On { machine, attempt, status: r.status, since_ms: now };
+                self.task_to(key, state);
+            }
+            TaskState::On { machine, attempt, status, since_ms }
+                if machine == ix && attempt == r.attempt =>
+            {
+                let since_ms = if status == r.status { since_ms } else { now };
+                self.task_to(key, TaskState::On { machine, attempt, status: r.status, since_ms });
+            }
+            // Wherever a task is seen alive, there it is: it may start nowhere else.
+            TaskState::Unproven | TaskState::Waiting | TaskState::Undealt => {
+                let attempt = r.attempt;
+                let status = r.status;
+                self.task_to(key, TaskState::On { machine: ix, attempt, status, since_ms: now });
+            }
+            _ => {}
+        }
+        Some(key)
+    }
+
+    fn task_failed(&mut self, ix: MachineIx, key: TaskKey) {
+        self.back_off(key);
+        let Some(job) = self.jobs.get_mut(key.job) else { return };
+        let id = job.id.clone();
+        if !job.errors_on.contains(&ix) {
+            job.errors_on.push(ix);
+        }
+        let Some(m) = self.machines.get_mut(ix) else { return };
+        tracing::debug!(machine = %m.name, job = %id, task = key.task, "task failed");
+        if !m.failed_jobs.contains(&id) {
+            m.failed_jobs.push(id);
+        }
+        if m.failed_jobs.len() >= 2 && !m.quarantined {
+            m.quarantined = true;
+            tracing::info!(machine = %m.name, jobs = ?m.failed_jobs, "quarantined: different jobs fail here");
+            self.drain_due = true;
+            self.requeue_probes(ix);
+        }
+    }
+
+    /// A failed start or task waits longer every time.
+    fn back_off(&mut self, key: TaskKey) {
+        let (now, step) = (self.now.steady_ms, self.cfg.report_ms());
+        if let Some(t) = self.jobs.task_mut(key) {
+            t.failures += 1;
+            t.not_before_ms = now + (step << t.failures.min(6)) / 4;
+        }
+    }
+
+    /// What a machine should be told over and above starts: stops for what should
+    /// not be there, clears for what is on record.
+    pub(crate) fn standing_orders(&self, ix: MachineIx) -> Vec<Order> {
+        let Some(m) = self.machines.get(ix) else { return Vec::new() };
+        // A clear must not meet a start of the same attempt that is still under way.
+        let may_clear = !m.calling && m.token_seen >= m.token;
+        let mut orders = Vec::new();
+        for r in &m.reported {
+            let (task, attempt) = (r.task.clone(), r.attempt);
+            if r.status == TaskStatus::Exited {
+                if may_clear && self.may_forget(ix, r) {
+                    orders.push(Order::Forget { task, attempt });
+                }
+            } else if let Some(grace_s) = self.stop_wanted(ix, r) {
+                orders.push(Order::Stop { task, attempt, grace_s });
+            }
+        }
+        orders
+    }
+
+    fn may_forget(&self, ix: MachineIx, r: &ReportTask) -> bool {
+        let Some((id, n)) = parse_task(&r.task) else { return true };
+        // A job that is not in memory is over: its end is on record.
+        let Some(job) = self.jobs.find(id).and_then(|j| self.jobs.get(j)) else {
+            return self.knows_all_jobs();
+        };
+        let Some(chunk) = job.chunks.get(&(n / crate::records::CHUNK)) else { return true };
+        let Some(task) = job.task(n) else { return true };
+        match task.state {
+            TaskState::Done { version } => {
+                r.cause != Some(Cause::Done)
+                    || chunk.acked >= version
+                    || job.state == JobState::Done
+            }
+            state => {
+                state.machine() != Some((ix, r.attempt)) && r.cause != Some(Cause::Done)
+                    || job.state == JobState::Aborted
+            }
+        }
+    }
+
+    /// Whether a task that is alive on a machine should stop, and with what grace.
+    fn stop_wanted(&self, ix: MachineIx, r: &ReportTask) -> Option<f64> {
+        let Some((id, n)) = parse_task(&r.task) else { return Some(0.0) };
+        let Some(job) = self.jobs.find(id).and_then(|j| self.jobs.get(j)) else {
+            return self.knows_all_jobs().then_some(0.0);
+        };
+        if job.state == JobState::Unreadable || job.state == JobState::Doubtful {
+            return None;
+        }
+        let Some(task) = job.task(n) else { return Some(0.0) };
+        match task.state {
+            _ if job.state == JobState::Aborted => Some(0.0),
+            TaskState::Stopping { machine, attempt, grace }
+                if machine == ix && attempt == r.attempt =>
+            {
+                Some(if grace { job.spec.save_s.max(1.0) * 1.5 } else { 0.0 })
+            }
+            state if state.machine() == Some((ix, r.attempt)) => None,
+            _ => Some(0.0),
+        }
+    }
+
+    /// Sends a machine its starts and standing orders, one call at a time.
+    pub(crate) fn send_orders(&mut self, ix: MachineIx) {
+        if !self.commands_workers() {
+            return;
+        }
+        let stops = self.standing_orders(ix);
+        let Some(m) = self.machines.get_mut(ix) else { return };
+        let Some(addr) = m.addr else { return };
+        if m.calling
+            || matches!(
+                m.state,
+                MachineState::Presumed | MachineState::Gone | MachineState::Returning
+            )
+        {
+            return;
+        }
+        let starts = std::mem::take(&mut m.outbox);
+        let greet = m.token_seen < m.token;
+        if starts.is_empty() && stops.is_empty() && !greet {
+            return;
+        }
+        let (token, tenure) = (m.token, m.tenure);
+        let mut orders = stops;
+        for (key, attempt) in &starts {
+            // What was bound may have been aborted or moved since.
+            let Some(job) = self.jobs.get(key.job) else { continue };
+            let still = job.state == JobState::Live
+                && job.task(key.task).map(|t| t.state)
+                    == Some(TaskState::Starting { machine: ix, attempt: *attempt });
+            if still {
+                let task = task_name(&job.id, key.task);
+                orders.push(Order::Start { task, attempt: *attempt });
+            } else if job.task(key.task).is_some_and(|t| t.state.machine() == Some((ix, *attempt)))
+            {
+                self.task_off(*key);
+            }
+        }
+        let body = to_cbor(&OrdersRequest { token, tenure, orders });
+        let timeout = self.cfg.worker_timeout_ms();
+        if let Some(m) = self.machines.get_mut(ix) {
+            m.calling = true;
+        }
+        let pending = Pending::Orders { machine: ix, token, starts };
+        self.call(Peer::Worker(addr), "POST", "/orders".into(), body, timeout, pending);
+    }
+
+    pub(crate) fn on_orders_outcome(
+        &mut self,
+        ix: MachineIx,
+        token: u64,
+        starts: Vec<(TaskKey, u64)>,
+        outcome: Outcome,
+    ) {
+        let epoch = self.epoch();
+        let Some(m) = self.machines.get_mut(ix) else { return };
+        m.calling = false;
+        match outcome {
+            Outcome::Answer(r) if r.status == 200 || r.status == 409 => {
+                match from_cbor::<Report>(&r.body) {
+                    Ok(report) if sane(&report) && report.machine == m.name => {
+                        if epoch_of(report.token) > epoch {
+                            tracing::info!(machine = %report.machine, "superseded: orders refused");
+                            return self.superseded();
+                        }
+                        self.observe(ix, report)
+                    }
+                    _ => self.raise_token(ix, token),
+                }
+            }
+            Outcome::NotSent => {
+                // Nothing reached the machine, so starts may be tried again as they are.
+                for (key, attempt) in starts {
+                    let still = TaskState::Starting { machine: ix, attempt };
+                    if self.jobs.task(key).is_some_and(|t| t.state == still) {
+                        self.task_off(key);
+                    }
+                }
+                if let Some(m) = self.machines.get_mut(ix) {
+                    m.no_room_until_ms = self.now.steady_ms + self.cfg.report_ms();
+                }
+            }
+            _ => self.raise_token(ix, token),
+        }
+        self.touched.insert(ix);
+        let pressing = self.machines.get(ix).is_some_and(|m| !m.outbox.is_empty());
+        if pressing {
+            self.needs_orders.insert(ix);
+        }
+    }
+
+    /// An order's fate is unknown: from the next contact on it can't match.
+    fn raise_token(&mut self, ix: MachineIx, token: u64) {
+        let epoch = self.epoch();
+        let now = self.now.steady_ms;
+        let wait = self.cfg.report_ms();
+        if let Some(m) = self.machines.get_mut(ix) {
+            if m.token == token {
+                m.token = in_epoch(epoch, (token & 0xff_ffff) + 1);
+            }
+            // Nothing new starts there until it has spoken again.
+            m.no_room_until_ms = now + wait;
+        }
+    }
+
+    /// Presumes silent machines empty once their leases must have run out.
+    pub(crate) fn presume_silent(&mut self) {
+        let now = self.now.steady_ms;
+        let base = in_epoch(self.epoch(), 0);
+        let (silence, inheritance) = (self.cfg.silence_ms(), self.cfg.inheritance_ms());
+        for ix in self.machines.indexes() {
+            let Some(m) = self.machines.get(ix) else { continue };
+            let told = m.answered_ms.unwrap_or(0);
+            let presumable = match m.state {
+                MachineState::Presumed | MachineState::Gone | MachineState::Returning => false,
+                // It takes no other token than ours: its lease hangs on our answers.
+                _ if m.token_seen >= base => now >= told.max(m.heard_ms) + silence,
+                // A former owner may have kept it alive until its horizon.
+                _ => now >= self.epoch_began_ms + inheritance && now >= told + silence,
+            };
+            let holds =
+                m.state != MachineState::Unheard || !m.unproven.is_empty() || !m.tasks.is_empty();
+            if presumable && holds {
+                tracing::info!(machine = %m.name, "silent past its lease: presumed empty");
+                self.machine_to(ix, MachineState::Presumed);
+            }
+        }
+    }
+
+    fn zone_ix(&self, zone: &str) -> Option<u16> {
+        self.cfg.platform.params.zones.iter().position(|z| z == zone).map(|z| z as u16)
+    }
+}
+
+/// A report that no worker would send is refused before it changes anything.
+pub(crate) fn sane(r: &Report) -> bool {
+    let short = |s: &str| !s.is_empty() && s.len() <= 128;
+    short(&r.machine)
+        && r.addr.parse::<SocketAddr>().is_ok()
+        && short(&r.kind)
+        && short(&r.zone)
+        && r.tenure > 0
+        && r.notice_s.is_none_or(|s| (0.0..1e9).contains(&s))
+        && r.tasks.iter().all(|t| short(&t.task))
+}
--- /dev/null
+++ b/crates/core/src/restore.rs
@@ -0,0 +1,378 @@
+//! A new leader's memory: made from the records, then proven by the machines.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use quartzgate_wire::from_cbor;
+use quartzgate_wire::msg::{PairList, Report};
+
+use crate::controller::{Controller, Pending};
+use crate::ids::{JobIx, MachineIx, TaskKey};
+use crate::jobs::{JobState, Probe, TaskState};
+use crate::machines::{sane, MachineState};
+use crate::member::Role;
+use crate::records::{
+    decode, job_key, parse_share_key, JobRecord, RecordedStatus, ShareRecord, CHUNK, INBOX, JOBS,
+    SHARES,
+};
+use crate::{Outcome, Peer};
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Phase {
+    #[default]
+    Jobs,
+    Shares,
+    Inbox,
+}
+
+#[derive(Default)]
+pub(crate) struct Restore {
+    phase: Phase,
+    since: Option<String>,
+    /// Revision from which on the inbox has to be watched.
+    rev: Option<u64>,
+    aborted: BTreeMap<String, (JobRecord, u64)>,
+    retry_ms: Option<u64>,
+    broken: BTreeSet<String>,
+}
+
+/// Items asked for at a time.
+const PAGE: u32 = 500;
+
+impl Controller {
+    pub(crate) fn start_restore(&mut self) {
+        self.restore = Restore::default();
+        self.restore_next();
+        self.list_machines(None);
+    }
+
+    fn restore_next(&mut self) {
+        let prefix = match self.restore.phase {
+            Phase::Jobs => JOBS,
+            Phase::Shares => SHARES,
+            Phase::Inbox => INBOX,
+        };
+        let mut target = format!("/keys?starts={prefix}&most={PAGE}");
+        if let Some(since) = &self.restore.since {
+            target.push_str(&format!("&since={since}"));
+        }
+        let pending = Pending::Restore { epoch: self.epoch() };
+        let timeout = 3 * self.cfg.state_timeout_ms();
+        self.call(Peer::State, "GET", target, Vec::new(), timeout, pending);
+    }
+
+    pub(crate) fn tick_restore(&mut self) {
+        let now = self.now.steady_ms;
+        if self.member.role == Role::Restoring && self.restore.retry_ms.is_some_and(|r| now >= r) {
+            self.restore.retry_ms = None;
+            self.restore_next();
+        }
+    }
+
+    pub(crate) fn on_restore(&mut self, outcome: Outcome) {
+        if self.member.role != Role::Restoring {
+            return;
+        }
+        let sent = self.now.steady_ms;
+        let list = match outcome {
+            Outcome::Answer(r) if r.status == 200 => from_cbor::<PairList>(&r.body).ok(),
+            _ => None,
+        };
+        let Some(list) = list else {
+            self.restore.retry_ms = Some(sent + self.cfg.renew_every_ms() / 2);
+            return;
+        };
+        self.state_answered();
+        self.restore.rev.get_or_insert(list.ledger_rev);
+        let last = list.pairs.last().map(|p| p.path.clone());
+        let phase = self.restore.phase;
+        let mut shares: BTreeMap<JobIx, BTreeMap<u32, (ShareRecord, u64)>> = BTreeMap::new();
+        for pair in list.pairs {
+            match phase {
+                Phase::Jobs => {
+                    let id = pair.path.trim_start_matches(JOBS).to_string();
+                    match decode::<JobRecord>(&pair.value) {
+                        Some(record) => self.restore_job(id, record, pair.stamp),
+                        None => {
+                            tracing::error!(job = %id, "the job's record can't be read; it is left alone");
+                            self.restore.broken.insert(id);
+                        }
+                    }
+                }
+                Phase::Shares => {
+                    let Some((id, chunk)) = parse_share_key(&pair.path) else { continue };
+                    if self.restore.broken.contains(id) {
+                        continue;
+                    }
+                    let Some(ix) = self.share_job(id) else {
+                        // Its job has ended: only the room it takes up matters.
+                        self.store.clear_inbox(pair.path);
+                        continue;
+                    };
+                    match decode::<ShareRecord>(&pair.value) {
+                        Some(record) => {
+                            shares.entry(ix).or_default().insert(chunk, (record, pair.stamp));
+                        }
+                        None => {
+                            tracing::error!(key = %pair.path, "a share can't be read; its job is left alone");
+                            self.job_to(ix, JobState::Unreadable);
+                        }
+                    }
+                }
+                Phase::Inbox => self.store.clear_inbox(pair.path),
+            }
+        }
+        for (ix, chunks) in shares {
+            self.load_chunks(ix, chunks);
+        }
+        if list.more && last.is_some() {
+            self.restore.since = last;
+            return self.restore_next();
+        }
+        self.restore.since = None;
+        self.restore.phase = match phase {
+            Phase::Jobs => Phase::Shares,
+            Phase::Shares => Phase::Inbox,
+            Phase::Inbox => return self.restored(),
+        };
+        self.restore_next();
+    }
+
+    fn restore_job(&mut self, id: String, record: JobRecord, stamp: u64) {
+        match record.status {
+            RecordedStatus::Live => {
+                if let Some(ix) = self.insert_recorded(record, stamp) {
+                    self.store.touch_job(ix);
+                }
+            }
+            status => {
+                self.finals.insert(id.clone(), status);
+                if status == RecordedStatus::Aborted && record.spec.is_some() {
+                    self.restore.aborted.insert(id, (record, stamp));
+                }
+            }
+        }
+    }
+
+    /// The job in memory that a share belongs to; aborted ones come back for as long
+    /// as a share says that a task of theirs may be on a machine.
+    fn share_job(&mut self, id: &str) -> Option<JobIx> {
+        if let Some(ix) = self.jobs.find(id) {
+            return Some(ix);
+        }
+        let (record, stamp) = self.restore.aborted.remove(id)?;
+        let ix = self.insert_recorded(record, stamp)?;
+        if let Some(j) = self.jobs.get_mut(ix) {
+            j.state = JobState::Aborted;
+        }
+        self.store.touch_job(ix);
+        Some(ix)
+    }
+
+    fn insert_recorded(&mut self, record: JobRecord, stamp: u64) -> Option<JobIx> {
+        let spec = record.spec?;
+        let Some(team) = self.cfg.team(&spec.team) else {
+            tracing::error!(job = %spec.id, team = %spec.team, "its team is no longer in the settings; it waits");
+            return None;
+        };
+        let mut job = self.new_job(spec, team, JobState::Live, stamp, record.at_ms);
+        job.done =
+            record.done_chunks.iter().flat_map(|(a, b)| *a..=*b).map(|c| job.chunk_len(c)).sum();
+        job.done_chunks = record.done_chunks;
+        Some(self.jobs.insert(job))
+    }
+
+    /// Takes a share into memory. Every machine that it names may hold the task,
+    /// unless this owner wrote it and so knows better.
+    pub(crate) fn load_chunk(&mut self, ix: JobIx, chunk: u32, record: ShareRecord, stamp: u64) {
+        let own = record.epoch == self.epoch();
+        let Some(job) = self.jobs.get(ix) else { return };
+        if chunk >= job.chunk_count() || job.chunks.contains_key(&chunk) {
+            return;
+        }
+        let (len, zone_rule) = (job.chunk_len(chunk), job.spec.together);
+        let mut fresh = self.new_chunk(len);
+        (fresh.stamp, fresh.version, fresh.acked) = (stamp, 0, 0);
+        let machines: Vec<MachineIx> = record.machines.iter().map(|n| self.machine(n)).collect();
+        let zones = self.cfg.platform.params.zones.clone();
+        let zone_of = |i: u32| {
+            let name = record.zones.get(i as usize)?;
+            zones.iter().position(|z| z == name).map(|z| z as u16)
+        };
+        let first = chunk * CHUNK;
+        for (i, t) in fresh.tasks.iter_mut().enumerate() {
+            t.zone = zone_of(i as u32);
+        }
+        let zone = fresh.tasks.iter().find_map(|t| t.zone);
+        let Some(job) = self.jobs.get_mut(ix) else { return };
+        job.chunks.insert(chunk, fresh);
+        if zone_rule {
+            job.zone = job.zone.or(zone);
+        }
+        for (a, b) in &record.done {
+            for n in (*a).max(first)..=(*b).min(first + len - 1) {
+                self.task_to(TaskKey { job: ix, task: n }, TaskState::Done { version: 0 });
+            }
+        }
+        for set in &record.sets {
+            for n in set.from.max(first)..=set.to.min(first + len - 1) {
+                let key = TaskKey { job: ix, task: n };
+                let probes: Vec<Probe> = set
+                    .machines
+                    .iter()
+                    .filter_map(|at| machines.get(*at as usize))
+                    .map(|&machine| Probe { machine, version: 0, unproven: !own })
+                    .collect();
+                for p in probes.iter().filter(|p| p.unproven) {
+                    if let Some(m) = self.machines.get_mut(p.machine) {
+                        m.unproven.push(key);
+                    }
+                }
+                let state =
+                    if own || probes.is_empty() { TaskState::Waiting } else { TaskState::Unproven };
+                if let Some(t) = self.jobs.task_mut(key) {
+                    t.probes = probes;
+                }
+                let aborted = self.jobs.get(ix).is_some_and(|j| j.state == JobState::Aborted);
+                let state = match state {
+                    TaskState::Waiting if aborted => TaskState::Dropped,
+                    s => s,
+                };
+                self.task_to(key, state);
+            }
+        }
+        // A machine that has proven itself already says at once what it holds.
+        self.mark_dirty(ix, chunk);
+        if let Some(job) = self.jobs.get_mut(ix) {
+            job.next = 0;
+        }
+    }
+
+    fn restored(&mut self) {
+        let rev = self.restore.rev.unwrap_or(0);
+        self.inbox_from(rev);
+        self.role_to(Role::Leading);
+        // Jobs of which nothing was dealt yet, and ends that were not recorded.
+        for ix in self.jobs.indexes() {
+            self.store.touch_job(ix);
+        }
+        for ix in self.machines.indexes() {
+            self.settle(ix);
+            let Some(m) = self.machines.get(ix) else { continue };
+            if m.state == MachineState::Unheard && m.addr.is_some() {
+                self.inspect(ix);
+            }
+        }
+        self.deal_due = true;
+        self.watch_inbox();
+    }
+
+    /// Asks a machine that we know the address of for its report.
+    pub(crate) fn inspect(&mut self, ix: MachineIx) {
+        let Some(m) = self.machines.get_mut(ix) else { return };
+        let Some(addr) = m.addr else { return };
+        m.probed_ms = self.now.steady_ms;
+        let pending = Pending::Inspect { machine: ix, epoch: self.epoch() };
+        let timeout = self.cfg.worker_timeout_ms();
+        self.call(Peer::Worker(addr), "GET", "/inspect".into(), Vec::new(), timeout, pending);
+    }
+
+    pub(crate) fn on_inspect(&mut self, ix: MachineIx, outcome: Outcome) {
+        let Outcome::Answer(r) = outcome else { return };
+        let Some(m) = self.machines.get(ix) else { return };
+        let Ok(report) = from_cbor::<Report>(&r.body) else { return };
+        if r.status == 200 && sane(&report) && report.machine == m.name {
+            self.observe(ix, report);
+        }
+    }
+
+    /// A job that stands on record and is not in memory.
+    pub(crate) fn adopt(&mut self, id: &str, record: JobRecord, stamp: u64) -> Option<JobIx> {
+        if !self.leads() {
+            return None;
+        }
+        if let Some(ix) = self.jobs.find(id) {
+            return Some(ix);
+        }
+        if record.status != RecordedStatus::Live {
+            return None;
+        }
+        let ix = self.insert_recorded(record, stamp)?;
+        tracing::info!(job = %id, "found on record");
+        // Its shares, if there are any, were written by us and never acted on.
+        if let Some(j) = self.jobs.get_mut(ix) {
+            (j.state, j.busy) = (JobState::Recording, true);
+        }
+        self.read_shares(ix);
+        Some(ix)
+    }
+
+    fn read_shares(&mut self, ix: JobIx) {
+        let Some(j) = self.jobs.get(ix) else { return };
+        let target = format!("/keys?starts={SHARES}{}/&most={PAGE}", j.id);
+        let pending = Pending::Adopt { job: ix, epoch: self.epoch() };
+        self.state_call("GET", target, Vec::new(), pending);
+    }
+
+    pub(crate) fn on_adopt(&mut self, ix: JobIx, outcome: Outcome) {
+        let list = match outcome {
+            Outcome::Answer(r) if r.status == 200 => from_cbor::<PairList>(&r.body).ok(),
+            _ => None,
+        };
+        let Some(list) = list else {
+            // It is found again by its next poll or retry.
+            return self.drop_job(ix);
+        };
+        self.state_answered();
+        for pair in list.pairs {
+            let Some((_, chunk)) = parse_share_key(&pair.path) else { continue };
+            match decode::<ShareRecord>(&pair.value) {
+                Some(record) => self.load_chunk(ix, chunk, record, pair.stamp),
+                None => {
+                    tracing::error!(key = %pair.path, "a share can't be read; its job is left alone");
+                    return self.job_to(ix, JobState::Unreadable);
+                }
+            }
+        }
+        if let Some(j) = self.jobs.get_mut(ix) {
+            j.busy = false;
+        }
+        self.job_to(ix, JobState::Live);
+        self.store.touch_job(ix);
+        self.deal_due = true;
+    }
+
+    /// A job recorded past the leader, or the whole inbox after a gap.
+    pub(crate) fn on_inbox_read(&mut self, job: String, outcome: Outcome) {
+        if job.is_empty() {
+            let list = match outcome {
+                Outcome::Answer(r) if r.status == 200 => from_cbor::<PairList>(&r.body).ok(),
+                _ => None,
+            };
+            let rev = list.as_ref().map(|l| l.ledger_rev);
+            for pair in list.into_iter().flat_map(|l| l.pairs) {
+                self.on_inbox(&pair.path, &pair.value);
+            }
+            return self.inbox_reread_done(rev);
+        }
+        match self.read_outcome(outcome) {
+            Ok(Some(pair)) => match decode::<JobRecord>(&pair.value) {
+                Some(record) => {
+                    self.adopt(&job, record, pair.stamp);
+                }
+                None => {
+                    tracing::error!(job = %job, "the job's record can't be read; it is left alone")
+                }
+            },
+            Ok(None) => {}
+            Err(()) => self.inbox_again.push(job),
+        }
+    }
+
+    pub(crate) fn retry_inbox(&mut self) {
+        for job in std::mem::take(&mut self.inbox_again) {
+            let target = format!("/keys/{}", job_key(&job));
+            let pending = Pending::InboxRead { job, epoch: self.epoch() };
+            self.state_call("GET", target, Vec::new(), pending);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/store.rs
@@ -0,0 +1,539 @@
+//! Writes to the state service: gathered, budgeted, and all guarded, so that one
+//! that is applied late can do no harm.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use quartzgate_wire::msg::{Change, Guard, Pair, Transaction, TransactionAnswer};
+use quartzgate_wire::{from_cbor, to_cbor};
+
+use crate::budget::Budget;
+use crate::config::Config;
+use crate::controller::{leader_share, Controller, Pending};
+use crate::ids::{JobIx, TaskKey};
+use crate::jobs::{JobState, TaskState};
+use crate::records::{
+    decode, encode, job_key, json_size, share_key, JobRecord, RecordedStatus, ShareRecord, VIEW,
+};
+use crate::Outcome;
+
+/// One record in a write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum FlushItem {
+    Chunk {
+        job: JobIx,
+        chunk: u32,
+    },
+    /// The job's end, together with the removal of its shares.
+    End {
+        job: JobIx,
+        chunks: Vec<u32>,
+    },
+    /// A chunk all of whose tasks are done is folded into the job's record.
+    Fold {
+        job: JobIx,
+        chunk: u32,
+    },
+    Inbox(String),
+}
+
+pub(crate) struct Store {
+    pub writes: Budget,
+    dirty: BTreeSet<(JobIx, u32)>,
+    /// Jobs whose own record may have to be written.
+    jobs: BTreeSet<JobIx>,
+    inbox: BTreeSet<String>,
+    flushing: bool,
+    /// When the oldest unwritten change was made.
+    since_ms: Option<u64>,
+}
+
+/// The state service takes transactions up to this size.
+const TXN_BYTES: usize = 60 * 1024;
+
+impl Store {
+    pub fn new(cfg: &Config) -> Self {
+        Store {
+            writes: leader_share(cfg.platform.params.state.write_rps),
+            dirty: BTreeSet::new(),
+            jobs: BTreeSet::new(),
+            inbox: BTreeSet::new(),
+            flushing: false,
+            since_ms: None,
+        }
+    }
+
+    pub fn touch_job(&mut self, ix: JobIx) {
+        self.jobs.insert(ix);
+    }
+
+    pub fn clear_inbox(&mut self, path: String) {
+        self.inbox.insert(path);
+    }
+}
+
+impl Controller {
+    pub(crate) fn mark_dirty(&mut self, job: JobIx, chunk: u32) {
+        if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
+            c.dirty = true;
+            self.store.dirty.insert((job, chunk));
+            self.store.jobs.insert(job);
+            let now = self.now.steady_ms;
+            self.store.since_ms.get_or_insert(now);
+        }
+    }
+
+    /// Writes what memory is ahead of the records, as far as the budget goes.
+    pub(crate) fn flush(&mut self) {
+        let now = self.now.steady_ms;
+        let nothing = self.store.dirty.is_empty()
+            && self.store.jobs.is_empty()
+            && self.store.inbox.is_empty();
+        if self.store.flushing || nothing {
+            return;
+        }
+        // A little is gathered first; deals that make room usable don't wait.
+        let due = self.store.since_ms.is_none_or(|s| now >= s + self.cfg.batch_ms());
+        if !due && !self.store.dirty.iter().any(|k| self.pressing(*k)) {
+            return;
+        }
+        // Acceptances and aborts come first: some of the budget is kept for them.
+        let most = self.cfg.platform.params.state.txn_ops;
+        let room = (self.store.writes.room(now, 0.25) as usize).min(most);
+        if room == 0 {
+            return;
+        }
+        let mut txn = Transaction::default();
+        txn.guards.push(Guard { path: VIEW.into(), stamp: self.member.view_stamp });
+        let mut items = Vec::new();
+        let mut bytes = 0;
+        self.gather_ends(&mut txn, &mut items, room, &mut bytes);
+        let mut dirty: Vec<(JobIx, u32)> = self.store.dirty.iter().copied().collect();
+        dirty.sort_by_key(|k| !self.pressing(*k));
+        for (ix, chunk) in dirty {
+            if txn.apply.len() >= room || bytes > TXN_BYTES {
+                break;
+            }
+            let Some(job) = self.jobs.get(ix) else {
+                self.store.dirty.remove(&(ix, chunk));
+                continue;
+            };
+            let ended = matches!(job.state, JobState::Done | JobState::Finishing);
+            let Some(c) = job.chunks.get(&chunk).filter(|c| c.dirty && !ended) else {
+                self.store.dirty.remove(&(ix, chunk));
+                continue;
+            };
+            if c.busy || job.state == JobState::Recording || job.state == JobState::Unreadable {
+                continue;
+            }
+            let (path, stamp) = (share_key(&job.id, chunk), c.stamp);
+            let Some(record) = self.share_record(ix, chunk) else { continue };
+            let size = json_size(&record);
+            if bytes > 0 && bytes + size > TXN_BYTES {
+                break;
+            }
+            bytes += size + 200;
+            txn.guards.push(Guard { path: path.clone(), stamp });
+            txn.apply.push(Change::Set { set: path, value: encode(&record), permit: None });
+            if let Some(c) = self.jobs.get_mut(ix).and_then(|j| j.chunks.get_mut(&chunk)) {
+                (c.dirty, c.busy) = (false, true);
+            }
+            self.store.dirty.remove(&(ix, chunk));
+            items.push(FlushItem::Chunk { job: ix, chunk });
+        }
+        let inbox: Vec<String> = self.store.inbox.iter().cloned().collect();
+        for path in inbox {
+            if txn.apply.len() >= room {
+                break;
+            }
+            txn.apply.push(Change::Delete { delete: path.clone() });
+            self.store.inbox.remove(&path);
+            items.push(FlushItem::Inbox(path));
+        }
+        if items.is_empty() {
+            self.store.since_ms = None;
+            return;
+        }
+        self.store.since_ms =
+            (!self.store.dirty.is_empty() || !self.store.jobs.is_empty()).then_some(now);
+        self.store.writes.force(now, txn.apply.len() as f64);
+        self.store.flushing = true;
+        let pending = Pending::Flush { items, epoch: self.epoch() };
+        self.state_call("POST", "/multi".into(), to_cbor(&txn), pending);
+    }
+
+    /// A chunk with tasks that could start once it is written.
+    fn pressing(&self, (job, chunk): (JobIx, u32)) -> bool {
+        let Some(c) = self.jobs.get(job).and_then(|j| j.chunks.get(&chunk)) else { return false };
+        c.tasks.iter().any(|t| {
+            t.state == TaskState::Waiting && t.probes.iter().any(|p| p.version > c.version)
+        })
+    }
+
+    /// Ends of jobs whose tasks are all done, and of aborted ones that are gone.
+    fn gather_ends(
+        &mut self,
+        txn: &mut Transaction,
+        items: &mut Vec<FlushItem>,
+        room: usize,
+        bytes: &mut usize,
+    ) {
+        let candidates: Vec<JobIx> = self.store.jobs.iter().copied().collect();
+        for ix in candidates {
+            let Some(job) = self.jobs.get(ix) else {
+                self.store.jobs.remove(&ix);
+                continue;
+            };
+            if job.busy || job.chunks.values().any(|c| c.busy) {
+                continue;
+            }
+            let all_done = job.done >= job.spec.tasks;
+            let gone = job.tasks().all(|(_, t)| !t.state.licensed());
+            let status = match job.state {
+                JobState::Live if all_done => RecordedStatus::Done,
+                JobState::Aborted if gone => RecordedStatus::Aborted,
+                JobState::Live => {
+                    self.gather_fold(ix, txn, items, room);
+                    continue;
+                }
+                JobState::Done | JobState::Finishing | JobState::Unreadable => {
+                    self.store.jobs.remove(&ix);
+                    continue;
+                }
+                _ => continue,
+            };
+            // Some shares may have to go in a write of their own, the end first.
+            let space = room.saturating_sub(txn.apply.len());
+            if space < 2 && !txn.apply.is_empty() {
+                return;
+            }
+            let chunks: Vec<u32> =
+                job.chunks.iter().filter(|(_, c)| c.stamp > 0).map(|(n, _)| *n).collect();
+            let chunks: Vec<u32> = chunks.into_iter().take(space.max(2) - 1).collect();
+            let record =
+                JobRecord { status, spec: None, at_ms: job.at_ms, done_chunks: Vec::new() };
+            let key = job_key(&job.id);
+            txn.guards.push(Guard { path: key.clone(), stamp: job.stamp });
+            txn.apply.push(Change::Set { set: key, value: encode(&record), permit: None });
+            for c in &chunks {
+                let path = share_key(&job.id, *c);
+                txn.guards.push(Guard { path: path.clone(), stamp: job.chunks[c].stamp });
+                txn.apply.push(Change::Delete { delete: path });
+            }
+            *bytes += 300 + 200 * chunks.len();
+            self.store.jobs.remove(&ix);
+            if let Some(j) = self.jobs.get_mut(ix) {
+                j.busy = true;
+            }
+            if status == RecordedStatus::Done {
+                self.job_to(ix, JobState::Finishing);
+            }
+            items.push(FlushItem::End { job: ix, chunks });
+        }
+    }
+
+    /// Large jobs: chunks that are wholly done move into the job's own record.
+    fn gather_fold(
+        &mut self,
+        ix: JobIx,
+        txn: &mut Transaction,
+        items: &mut Vec<FlushItem>,
+        room: usize,
+    ) {
+        let Some(job) = self.jobs.get(ix) else { return };
+        if job.chunk_count() < 2 || room.saturating_sub(txn.apply.len()) < 2 {
+            self.store.jobs.remove(&ix);
+            return;
+        }
+        let whole = job.chunks.iter().find(|(_, c)| {
+            !c.busy
+                && c.stamp > 0
+                && c.tasks.iter().all(|t| matches!(t.state, TaskState::Done { .. }))
+        });
+        let Some((&chunk, c)) = whole else {
+            self.store.jobs.remove(&ix);
+            return;
+        };
+        let folded = job.done_chunks.iter().flat_map(|(a, b)| *a..=*b).chain([chunk]);
+        let mut folded: Vec<u32> = folded.collect();
+        folded.sort_unstable();
+        let record = JobRecord {
+            status: RecordedStatus::Live,
+            spec: Some(job.spec.clone()),
+            at_ms: job.at_ms,
+            done_chunks: crate::records::ranges(folded),
+        };
+        let (key, path) = (job_key(&job.id), share_key(&job.id, chunk));
+        txn.guards.push(Guard { path: key.clone(), stamp: job.stamp });
+        txn.guards.push(Guard { path: path.clone(), stamp: c.stamp });
+        txn.apply.push(Change::Set { set: key, value: encode(&record), permit: None });
+        txn.apply.push(Change::Delete { delete: path });
+        if let Some(j) = self.jobs.get_mut(ix) {
+            j.busy = true;
+        }
+        items.push(FlushItem::Fold { job: ix, chunk });
+    }
+
+    pub(crate) fn on_flush(&mut self, items: Vec<FlushItem>, outcome: Outcome) {
+        self.store.flushing = false;
+        let (status, answer) = match &outcome {
+            Outcome::Answer(r) => (r.status, from_cbor::<TransactionAnswer>(&r.body).ok()),
+            Outcome::NotSent => (503, None),
+            Outcome::Lost => (0, None),
+        };
+        match (status, answer) {
+            (200, Some(done)) => {
+                self.state_answered();
+                for item in items {
+                    self.written(item, done.ledger_rev);
+                }
+            }
+            (409, Some(a)) => {
+                self.state_answered();
+                if a.failed.iter().any(|p| p == VIEW) {
+                    tracing::info!("superseded: a write met a later view");
+                    return self.superseded();
+                }
+                tracing::info!(failed = ?a.failed, "a write met a changed record; reading it");
+                items.into_iter().for_each(|i| self.restamp(i));
+            }
+            (503 | 429, _) => {
+                self.state_busy(status);
+                items.into_iter().for_each(|i| self.unwritten(i));
+            }
+            // Perhaps applied, perhaps applied later: read before writing again.
+            _ => items.into_iter().for_each(|i| self.restamp(i)),
+        }
+    }
+
+    fn written(&mut self, item: FlushItem, rev: u64) {
+        match item {
+            FlushItem::Chunk { job, chunk } => {
+                if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
+                    (c.busy, c.acked, c.stamp) = (false, c.version, rev);
+                }
+                self.touch_probed(job);
+                self.preempt_due = true;
+                self.store.touch_job(job);
+            }
+            FlushItem::End { job, chunks } => {
+                let Some(j) = self.jobs.get_mut(job) else { return };
+                (j.busy, j.stamp) = (false, rev);
+                for c in chunks {
+                    if let Some(c) = j.chunks.get_mut(&c) {
+                        c.stamp = 0;
+                    }
+                }
+                let more = j.chunks.values().any(|c| c.stamp > 0);
+                if j.state == JobState::Finishing {
+                    self.job_to(job, JobState::Done);
+                }
+                if more {
+                    // The end stands; what is left of the shares only takes up room.
+                    self.sweep_shares(job);
+                } else {
+                    self.drop_job(job);
+                }
+            }
+            FlushItem::Fold { job, chunk } => {
+                let Some(j) = self.jobs.get_mut(job) else { return };
+                (j.busy, j.stamp) = (false, rev);
+                j.chunks.remove(&chunk);
+                let mut all: Vec<u32> =
+                    j.done_chunks.iter().flat_map(|(a, b)| *a..=*b).chain([chunk]).collect();
+                all.sort_unstable();
+                j.done_chunks = crate::records::ranges(all);
+                self.store.touch_job(job);
+                self.deal_due = true;
+            }
+            FlushItem::Inbox(_) => {}
+        }
+    }
+
+    /// Shares of an ended job that did not fit the write of its end.
+    fn sweep_shares(&mut self, job: JobIx) {
+        let Some(j) = self.jobs.get(job) else { return };
+        let paths: Vec<String> = j
+            .chunks
+            .iter()
+            .filter(|(_, c)| c.stamp > 0)
+            .map(|(n, _)| share_key(&j.id, *n))
+            .collect();
+        for p in paths {
+            self.store.clear_inbox(p);
+        }
+        self.drop_job(job);
+    }
+
+    /// Not executed: memory is still ahead.
+    fn unwritten(&mut self, item: FlushItem) {
+        match item {
+            FlushItem::Chunk { job, chunk } => {
+                if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
+                    c.busy = false;
+                }
+                self.mark_dirty(job, chunk);
+            }
+            FlushItem::End { job, .. } | FlushItem::Fold { job, .. } => {
+                if let Some(j) = self.jobs.get_mut(job) {
+                    j.busy = false;
+                    if j.state == JobState::Finishing {
+                        self.job_to(job, JobState::Live);
+                    }
+                }
+                self.store.touch_job(job);
+            }
+            FlushItem::Inbox(path) => self.store.clear_inbox(path),
+        }
+    }
+
+    /// Reads a record whose stamp is no longer sure.
+    fn restamp(&mut self, item: FlushItem) {
+        let path = match &item {
+            FlushItem::Chunk { job, chunk } => {
+                self.jobs.get(*job).map(|j| share_key(&j.id, *chunk))
+            }
+            FlushItem::End { job, .. } | FlushItem::Fold { job, .. } => {
+                self.jobs.get(*job).map(|j| job_key(&j.id))
+            }
+            FlushItem::Inbox(path) => return self.store.clear_inbox(path.clone()),
+        };
+        let Some(path) = path else { return };
+        // Shares that an end removes are looked at as well.
+        if let FlushItem::End { job, chunks } = &item {
+            for &chunk in chunks {
+                self.restamp(FlushItem::Chunk { job: *job, chunk });
+            }
+        }
+        if let FlushItem::Fold { job, chunk } = &item {
+            self.restamp(FlushItem::Chunk { job: *job, chunk: *chunk });
+        }
+        if let FlushItem::Chunk { job, chunk } = &item {
+            if let Some(c) = self.jobs.get_mut(*job).and_then(|j| j.chunks.get_mut(chunk)) {
+                c.busy = true;
+            }
+        }
+        let pending = Pending::Restamp { item, epoch: self.epoch() };
+        self.state_call("GET", format!("/keys/{path}"), Vec::new(), pending);
+    }
+
+    /// Reads a job's own record again because it may have changed.
+    pub(crate) fn restamp_job(&mut self, job: JobIx) {
+        if let Some(j) = self.jobs.get_mut(job) {
+            j.busy = true;
+            self.restamp(FlushItem::End { job, chunks: Vec::new() });
+        }
+    }
+
+    pub(crate) fn on_restamp(&mut self, item: FlushItem, outcome: Outcome) {
+        let pair: Option<Pair> = match self.read_outcome(outcome) {
+            Ok(pair) => pair,
+            Err(()) => return self.restamp_again(item),
+        };
+        match item {
+            FlushItem::Chunk { job, chunk } => {
+                let stands = pair.is_none_or(|p| {
+                    let known = decode::<ShareRecord>(&p.value).is_some();
+                    if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
+                        c.stamp = p.stamp;
+                    }
+                    known
+                });
+                if !stands {
+                    return self.unreadable(job);
+                }
+                if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
+                    c.busy = false;
+                }
+                self.mark_dirty(job, chunk);
+            }
+            FlushItem::End { job, .. } | FlushItem::Fold { job, .. } => {
+                let Some(pair) = pair else { return self.unreadable(job) };
+                let Some(record) = decode::<JobRecord>(&pair.value) else {
+                    return self.unreadable(job);
+                };
+                if let Some(j) = self.jobs.get_mut(job) {
+                    (j.busy, j.stamp) = (false, pair.stamp);
+                    j.done_chunks = record.done_chunks;
+                }
+                match record.status {
+                    RecordedStatus::Done => {
+                        self.job_to(job, JobState::Done);
+                        self.sweep_shares(job);
+                    }
+                    RecordedStatus::Aborted => {
+                        self.job_to(job, JobState::Aborted);
+                        self.store.touch_job(job);
+                    }
+                    RecordedStatus::Live => {
+                        self.job_to(job, JobState::Live);
+                        self.store.touch_job(job);
+                        self.touch_probed(job);
+                    }
+                }
+            }
+            FlushItem::Inbox(_) => {}
+        }
+    }
+
+    /// The read failed: it is tried again with the next round of the lease.
+    fn restamp_again(&mut self, item: FlushItem) {
+        self.store_retry.push(item);
+    }
+
+    pub(crate) fn retry_reads(&mut self) {
+        for item in std::mem::take(&mut self.store_retry) {
+            let path = match &item {
+                FlushItem::Chunk { job, chunk } => {
+                    self.jobs.get(*job).map(|j| share_key(&j.id, *chunk))
+                }
+                FlushItem::End { job, .. } | FlushItem::Fold { job, .. } => {
+                    self.jobs.get(*job).map(|j| job_key(&j.id))
+                }
+                FlushItem::Inbox(_) => None,
+            };
+            let Some(path) = path else { continue };
+            let pending = Pending::Restamp { item, epoch: self.epoch() };
+            self.state_call("GET", format!("/keys/{path}"), Vec::new(), pending);
+        }
+    }
+
+    /// The record can't be read: this job stops, loudly, and is never overwritten.
+    fn unreadable(&mut self, job: JobIx) {
+        if let Some(j) = self.jobs.get(job) {
+            tracing::error!(job = %j.id, "a record of this job can't be read; it is left alone");
+        }
+        self.job_to(job, JobState::Unreadable);
+    }
+
+    /// An abort that stands on record reaches the leader's memory.
+    pub(crate) fn learn_abort(&mut self, job: &str, stamp: u64) {
+        if let Some(ix) = self.jobs.find(job) {
+            if let Some(j) = self.jobs.get_mut(ix) {
+                j.stamp = stamp;
+            }
+            if self.jobs.get(ix).is_some_and(|j| j.state != JobState::Aborted) {
+                self.job_to(ix, JobState::Aborted);
+                self.store.touch_job(ix);
+            }
+        }
+    }
+
+    /// Memory forgets a job; its licences go with it.
+    pub(crate) fn drop_job(&mut self, ix: JobIx) {
+        let Some(job) = self.jobs.get(ix) else { return };
+        let keys: Vec<u32> =
+            job.tasks().filter(|(_, t)| t.state.licensed()).map(|(t, _)| t).collect();
+        for task in keys {
+            self.task_to(TaskKey { job: ix, task }, TaskState::Dropped);
+        }
+        self.jobs.remove(ix);
+        self.store.jobs.remove(&ix);
+    }
+
+    /// The in-memory index of records by chunk after a restore.
+    pub(crate) fn load_chunks(&mut self, ix: JobIx, shares: BTreeMap<u32, (ShareRecord, u64)>) {
+        for (chunk, (record, stamp)) in shares {
+            self.load_chunk(ix, chunk, record, stamp);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quartzgate/src/daemon.rs
@@ -0,0 +1,612 @@
+//! The event loop: sockets, timers and clocks round the core.
+
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use quartzgate_core::config::Config;
+use quartzgate_core::{Action, Call, CallId, Controller, Event, Now, Outcome, Peer, RequestId};
+use quartzgate_wire::http::{self, HttpError, Response};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use slab::Slab;
+
+use crate::conn::{Conn, Side, State};
+
+const CLIENTS: Token = Token(0);
+const MESH: Token = Token(1);
+/// Tokens of connections come after those of the listeners.
+const FIRST: usize = 2;
+
+/// How often time is told to the core.
+const TICK_MS: u64 = 25;
+/// Time for the rest of a request, or for an answer to be taken.
+const STALL_MS: u64 = 10_000;
+/// Idle inbound connections are closed after this.
+const IDLE_MS: u64 = 120_000;
+/// Idle outbound connections are closed after this.
+const SPARE_MS: u64 = 30_000;
+/// Calls that wait for a free connection, over all peers.
+const QUEUE_MOST: usize = 2_000;
+
+/// Shares of the socket limit: users and workers may hold so much, calls the rest.
+const INBOUND_SHARE: f64 = 0.75;
+const OUTBOUND_SHARE: f64 = 0.2;
+
+struct Waiting {
+    call: Call,
+    deadline_ms: u64,
+}
+
+/// What is needed to send a call once more on a new connection.
+struct UnderWay {
+    peer: Peer,
+    request: Option<Vec<u8>>,
+}
+
+pub struct Daemon {
+    poll: Poll,
+    clients: TcpListener,
+    mesh: TcpListener,
+    conns: Slab<Conn>,
+    core: Controller,
+    started: Instant,
+    state: SocketAddr,
+    cloud: SocketAddr,
+    siblings: Vec<SocketAddr>,
+    idle: HashMap<Peer, Vec<usize>>,
+    open: HashMap<Peer, usize>,
+    queued: HashMap<Peer, VecDeque<Waiting>>,
+    queued_total: usize,
+    requests: HashMap<RequestId, usize>,
+    under_way: HashMap<CallId, UnderWay>,
+    next_request: RequestId,
+    actions: VecDeque<Action>,
+    events: VecDeque<Event>,
+    inbound: usize,
+    outbound: usize,
+    inbound_most: usize,
+    outbound_most: usize,
+    scratch: Vec<u8>,
+}
+
+pub fn run(config: Config) -> io::Result<()> {
+    let mut daemon = Daemon::new(config)?;
+    daemon.serve()
+}
+
+fn address(text: &str) -> io::Result<SocketAddr> {
+    text.parse().map_err(|_| io::Error::other(format!("not an address: {text}")))
+}
+
+impl Daemon {
+    fn new(config: Config) -> io::Result<Self> {
+        let p = &config.platform;
+        let poll = Poll::new()?;
+        let listen = |text: &str, token| -> io::Result<TcpListener> {
+            let mut l = TcpListener::bind(address(text)?)
+                .map_err(|e| io::Error::other(format!("can't listen on {text}: {e}")))?;
+            poll.registry().register(&mut l, token, Interest::READABLE)?;
+            Ok(l)
+        };
+        let clients = listen(&p.listen, CLIENTS)?;
+        let mesh = listen(&p.mesh_listen, MESH)?;
+        let state = address(&p.services.state)?;
+        let cloud = address(&p.services.cloud)?;
+        let siblings =
+            p.siblings.iter().map(|s| address(&s.addr)).collect::<io::Result<Vec<_>>>()?;
+        let sockets = p.params.limits.max_sockets as f64;
+        tracing::info!(node = %p.node, zone = %p.zone, clients = %p.listen, mesh = %p.mesh_listen, "started");
+        Ok(Daemon {
+            poll,
+            clients,
+            mesh,
+            conns: Slab::new(),
+            core: Controller::new(config, SmallRng::from_os_rng()),
+            started: Instant::now(),
+            state,
+            cloud,
+            siblings,
+            idle: HashMap::new(),
+            open: HashMap::new(),
+            queued: HashMap::new(),
+            queued_total: 0,
+            requests: HashMap::new(),
+            under_way: HashMap::new(),
+            next_request: 1,
+            actions: VecDeque::new(),
+            events: VecDeque::new(),
+            inbound: 0,
+            outbound: 0,
+            inbound_most: (sockets * INBOUND_SHARE) as usize,
+            outbound_most: (sockets * OUTBOUND_SHARE) as usize,
+            scratch: Conn::scratch(),
+        })
+    }
+
+    fn now_ms(&self) -> u64 {
+        // Never 0, which stands for "never" in places.
+        self.started.elapsed().as_millis() as u64 + 1
+    }
+
+    fn now(&self) -> Now {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Now { steady_ms: self.now_ms(), wall_ms: wall.as_millis() as u64 }
+    }
+
+    fn serve(&mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(256);
+        let mut tick_ms = 0;
+        loop {
+            let now = self.now_ms();
+            if now >= tick_ms {
+                tick_ms = now + TICK_MS;
+                self.expire(now);
+                self.feed(Event::Tick);
+            }
+            let wait = tick_ms.saturating_sub(self.now_ms()).max(1);
+            if let Err(e) = self.poll.poll(&mut events, Some(Duration::from_millis(wait))) {
+                if e.kind() != io::ErrorKind::Interrupted {
+                    return Err(e);
+                }
+            }
+            for event in &events {
+                match event.token() {
+                    CLIENTS => self.accept(false),
+                    MESH => self.accept(true),
+                    Token(n) => self.on_ready(n - FIRST, event.is_writable(), event.is_readable()),
+                }
+                self.settle();
+            }
+        }
+    }
+
+    /// Gives the core an event and carries out all that follows.
+    fn feed(&mut self, event: Event) {
+        self.events.push_back(event);
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        loop {
+            if let Some(event) = self.events.pop_front() {
+                let now = self.now();
+                self.actions.extend(self.core.handle(now, event));
+            } else if let Some(action) = self.actions.pop_front() {
+                match action {
+                    Action::Answer { id, response } => self.answer(id, response),
+                    Action::Call(call) => self.start_call(call),
+                }
+            } else {
+                return;
+            }
+        }
+    }
+
+    // Inbound.
+
+    fn accept(&mut self, mesh: bool) {
+        loop {
+            let listener = if mesh { &self.mesh } else { &self.clients };
+            let mut stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(_) => {
+                    // Out of sockets: an idle user makes room, or we try at the next event.
+                    if !self.close_idle_user() {
+                        return;
+                    }
+                    continue;
+                }
+            };
+            if !mesh && self.inbound >= self.inbound_most && !self.close_idle_user() {
+                continue;
+            }
+            let now = self.now_ms();
+            let _ = stream.set_nodelay(true);
+            let entry = self.conns.vacant_entry();
+            let token = Token(entry.key() + FIRST);
+            let both = Interest::READABLE | Interest::WRITABLE;
+            if self.poll.registry().register(&mut stream, token, both).is_err() {
+                continue;
+            }
+            entry.insert(Conn::new(stream, Side::Inbound { mesh }, State::Reading, now));
+            self.inbound += 1;
+        }
+    }
+
+    /// Closes the user's connection that has been idle longest.
+    fn close_idle_user(&mut self) -> bool {
+        let oldest = self
+            .conns
+            .iter()
+            .filter(|(_, c)| {
+                matches!(c.side, Side::Inbound { mesh: false })
+                    && c.state == State::Reading
+                    && !c.worker
+                    && c.inbuf.is_empty()
+                    && c.outbuf.is_empty()
+            })
+            .min_by_key(|(_, c)| c.active_ms)
+            .map(|(n, _)| n);
+        match oldest {
+            Some(n) => {
+                self.close(n);
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn on_ready(&mut self, n: usize, writable: bool, readable: bool) {
+        let now = self.now_ms();
+        let Some(conn) = self.conns.get_mut(n) else { return };
+        conn.active_ms = now;
+        if let State::Connecting(call) = conn.state {
+            if writable || readable {
+                match conn.stream.peer_addr() {
+                    Ok(_) if conn.stream.take_error().ok().flatten().is_none() => {
+                        let deadline = conn.deadline_ms;
+                        conn.to(State::Calling(call), now, deadline);
+                    }
+                    Err(e) if e.kind() == io::ErrorKind::NotConnected && !readable => return,
+                    _ => return self.fail(n, Outcome::NotSent),
+                }
+            }
+        }
+        let Some(conn) = self.conns.get_mut(n) else { return };
+        if writable && !conn.outbuf.is_empty() && !conn.write() {
+            return self.broken(n);
+        }
+        if readable {
+            let limit = match conn.side {
+                Side::Inbound { .. } => http::MAX_BODY + 2 * http::MAX_HEAD,
+                Side::Outbound { .. } => http::MAX_ANSWER + http::MAX_HEAD,
+            };
+            if !conn.read(&mut self.scratch, limit) {
+                return self.broken(n);
+            }
+        }
+        match self.conns.get(n).map(|c| &c.side) {
+            Some(Side::Inbound { .. }) => self.take_request(n),
+            Some(Side::Outbound { .. }) => self.take_response(n),
+            None => {}
+        }
+    }
+
+    fn take_request(&mut self, n: usize) {
+        let now = self.now_ms();
+        let Some(conn) = self.conns.get_mut(n) else { return };
+        if matches!(conn.state, State::Deciding(_)) {
+            if conn.ended {
+                // The asker has gone; the answer will find nobody.
+                self.close(n);
+            }
+            return;
+        }
+        if conn.close {
+            if conn.outbuf.is_empty() || conn.ended {
+                self.close(n);
+            }
+            return;
+        }
+        if conn.inbuf.is_empty() {
+            if conn.ended {
+                self.close(n);
+            } else {
+                conn.deadline_ms = u64::MAX;
+            }
+            return;
+        }
+        match http::parse_request(&conn.inbuf) {
+            Ok(None) => {
+                if conn.ended {
+                    self.close(n);
+                } else if conn.deadline_ms == u64::MAX {
+                    conn.deadline_ms = now + STALL_MS;
+                }
+            }
+            Ok(Some((request, taken))) => {
+                conn.consume(taken);
+                conn.close = request.close;
+                conn.worker |= request.target.starts_with("/checkin");
+                let id = self.next_request;
+                self.next_request += 1;
+                conn.to(State::Deciding(id), now, now + STALL_MS);
+                let mesh = matches!(conn.side, Side::Inbound { mesh: true });
+                self.requests.insert(id, n);
+                self.events.push_back(if mesh {
+                    Event::Mesh { id, request }
+                } else {
+                    Event::Client { id, request }
+                });
+            }
+            Err(e) => self.refuse(n, e),
+        }
+    }
+
+    /// A request that can't be read: its connection has no use after the answer.
+    fn refuse(&mut self, n: usize, error: HttpError) {
+        let now = self.now_ms();
+        let Some(conn) = self.conns.get_mut(n) else { return };
+        conn.close = true;
+        conn.inbuf = Vec::new();
+        let mut response = Response::new(error.status(), Vec::new());
+        response.close = true;
+        http::write_response(&mut conn.outbuf, &response);
+        conn.deadline_ms = now + STALL_MS;
+        if !conn.write() || conn.outbuf.is_empty() {
+            self.close(n);
+        }
+    }
+
+    fn answer(&mut self, id: RequestId, mut response: Response) {
+        let now = self.now_ms();
+        let Some(n) = self.requests.remove(&id) else { return };
+        let Some(conn) = self.conns.get_mut(n) else { return };
+        if conn.state != State::Deciding(id) {
+            return;
+        }
+        response.close = conn.close;
+        http::write_response(&mut conn.outbuf, &response);
+        conn.to(State::Reading, now, now + STALL_MS);
+        if !conn.write() {
+            return self.close(n);
+        }
+        // A next request may wait in the buffer already.
+        self.take_request(n);
+    }
+
+    // Outbound.
+
+    fn address_of(&self, peer: &Peer) -> SocketAddr {
+        match peer {
+            Peer::State => self.state,
+            Peer::Cloud => self.cloud,
+            Peer::Worker(addr) => *addr,
+            Peer::Sibling(at) => self.siblings[*at],
+        }
+    }
+
+    /// Connections to one peer at a time.
+    fn most(&self, peer: &Peer) -> usize {
+        match peer {
+            Peer::State => 16,
+            Peer::Cloud => 4,
+            Peer::Worker(_) => 2,
+            Peer::Sibling(_) => 16,
+        }
+    }
+
+    fn start_call(&mut self, call: Call) {
+        let deadline_ms = self.now_ms() + call.timeout_ms;
+        self.place_call(Waiting { call, deadline_ms });
+    }
+
+    fn place_call(&mut self, w: Waiting) {
+        let peer = w.call.peer.clone();
+        let addr = self.address_of(&peer);
+        let mut request = Vec::with_capacity(w.call.body.len() + 160);
+        let host = addr.to_string();
+        http::write_request(&mut request, w.call.method, &w.call.target, &host, &w.call.body);
+        let again = (w.call.method == "GET").then(|| request.clone());
+        while let Some(n) = self.idle.get_mut(&peer).and_then(Vec::pop) {
+            if !self.conns.get(n).is_some_and(|c| c.state == State::Idle && !c.ended) {
+                continue;
+            }
+            self.under_way.insert(w.call.id, UnderWay { peer: peer.clone(), request: again });
+            self.send_on(n, w.call.id, request, w.deadline_ms);
+            return;
+        }
+        if self.open.get(&peer).copied().unwrap_or(0) >= self.most(&peer)
+            || self.outbound >= self.outbound_most
+        {
+            if self.queued_total >= QUEUE_MOST {
+                let outcome = Outcome::NotSent;
+                self.events.push_back(Event::Outcome { call: w.call.id, outcome });
+                return;
+            }
+            self.queued_total += 1;
+            self.queued.entry(peer).or_default().push_back(w);
+            return;
+        }
+        self.under_way.insert(w.call.id, UnderWay { peer: peer.clone(), request: again });
+        self.connect(peer, w.call.id, request, w.deadline_ms);
+    }
+
+    fn connect(&mut self, peer: Peer, call: CallId, request: Vec<u8>, deadline_ms: u64) {
+        let now = self.now_ms();
+        let stream = TcpStream::connect(self.address_of(&peer));
+        let Ok(mut stream) = stream else {
+            self.under_way.remove(&call);
+            self.events.push_back(Event::Outcome { call, outcome: Outcome::NotSent });
+            return;
+        };
+        let _ = stream.set_nodelay(true);
+        let entry = self.conns.vacant_entry();
+        let n = entry.key();
+        let both = Interest::READABLE | Interest::WRITABLE;
+        if self.poll.registry().register(&mut stream, Token(n + FIRST), both).is_err() {
+            self.under_way.remove(&call);
+            self.events.push_back(Event::Outcome { call, outcome: Outcome::NotSent });
+            return;
+        }
+        let side = Side::Outbound { peer: peer.clone() };
+        let mut conn = Conn::new(stream, side, State::Connecting(call), now);
+        conn.outbuf = request;
+        conn.deadline_ms = deadline_ms;
+        entry.insert(conn);
+        *self.open.entry(peer).or_default() += 1;
+        self.outbound += 1;
+    }
+
+    fn send_on(&mut self, n: usize, call: CallId, request: Vec<u8>, deadline_ms: u64) {
+        let now = self.now_ms();
+        let Some(conn) = self.conns.get_mut(n) else { return };
+        conn.to(State::Calling(call), now, deadline_ms);
+        conn.outbuf = request;
+        conn.written = 0;
+        if !conn.write() {
+            self.broken(n);
+        }
+    }
+
+    fn take_response(&mut self, n: usize) {
+        let now = self.now_ms();
+        let Some(conn) = self.conns.get_mut(n) else { return };
+        let State::Calling(call) = conn.state else {
+            if conn.ended || !conn.inbuf.is_empty() {
+                self.close(n);
+            }
+            return;
+        };
+        match http::parse_response(&conn.inbuf) {
+            Ok(None) if conn.ended => self.broken(n),
+            Ok(None) => {}
+            Ok(Some((response, taken))) => {
+                conn.consume(taken);
+                let keep = !response.close && !conn.ended && conn.inbuf.is_empty();
+                conn.used = true;
+                conn.to(State::Idle, now, u64::MAX);
+                let peer = match &conn.side {
+                    Side::Outbound { peer } => peer.clone(),
+                    Side::Inbound { .. } => return,
+                };
+                self.under_way.remove(&call);
+                let outcome = Outcome::Answer(response);
+                self.events.push_back(Event::Outcome { call, outcome });
+                if keep {
+                    self.idle.entry(peer.clone()).or_default().push(n);
+                } else {
+                    self.close(n);
+                }
+                self.next_queued(&peer);
+            }
+            Err(_) => self.fail(n, Outcome::Lost),
+        }
+    }
+
+    fn next_queued(&mut self, peer: &Peer) {
+        let now = self.now_ms();
+        while let Some(w) = self.queued.get_mut(peer).and_then(VecDeque::pop_front) {
+            self.queued_total -= 1;
+            if w.deadline_ms > now {
+                return self.place_call(w);
+            }
+            let outcome = Outcome::NotSent;
+            self.events.push_back(Event::Outcome { call: w.call.id, outcome });
+        }
+        self.queued.remove(peer);
+    }
+
+    /// A connection broke. A read sent on an old connection is sent once more.
+    fn broken(&mut self, n: usize) {
+        let Some(conn) = self.conns.get(n) else { return };
+        let (call, sent) = match conn.state {
+            State::Connecting(_) => return self.fail(n, Outcome::NotSent),
+            State::Calling(call) => (call, conn.used && conn.inbuf.is_empty()),
+            _ => return self.close(n),
+        };
+        let deadline = conn.deadline_ms;
+        let again = self.under_way.get_mut(&call).filter(|_| sent);
+        if let Some((peer, request)) = again.and_then(|u| Some((u.peer.clone(), u.request.take()?)))
+        {
+            if let Some(conn) = self.conns.get_mut(n) {
+                conn.state = State::Idle;
+            }
+            self.close(n);
+            return self.connect(peer, call, request, deadline);
+        }
+        self.fail(n, Outcome::Lost)
+    }
+
+    /// A call has failed; its connection goes with it.
+    fn fail(&mut self, n: usize, outcome: Outcome) {
+        let Some(conn) = self.conns.get_mut(n) else { return };
+        if let State::Connecting(call) | State::Calling(call) = conn.state {
+            conn.state = State::Idle;
+            self.under_way.remove(&call);
+            self.events.push_back(Event::Outcome { call, outcome });
+        }
+        self.close(n);
+    }
+
+    fn close(&mut self, n: usize) {
+        let Some(mut conn) = self.conns.try_remove(n) else { return };
+        let _ = self.poll.registry().deregister(&mut conn.stream);
+        match conn.side {
+            Side::Inbound { .. } => {
+                self.inbound -= 1;
+                if let State::Deciding(id) = conn.state {
+                    self.requests.remove(&id);
+                }
+            }
+            Side::Outbound { peer } => {
+                self.outbound -= 1;
+                if let Some(open) = self.open.get_mut(&peer) {
+                    *open -= 1;
+                    if *open == 0 {
+                        self.open.remove(&peer);
+                    }
+                }
+                if let Some(list) = self.idle.get_mut(&peer) {
+                    list.retain(|i| *i != n);
+                    if list.is_empty() {
+                        self.idle.remove(&peer);
+                    }
+                }
+                self.next_queued(&peer);
+            }
+        }
+    }
+
+    /// Ends what has taken too long.
+    fn expire(&mut self, now: u64) {
+        let mut late: Vec<usize> = Vec::new();
+        for (n, c) in &self.conns {
+            let idle_most = match c.side {
+                Side::Inbound { .. } => IDLE_MS,
+                Side::Outbound { .. } => SPARE_MS,
+            };
+            let resting = matches!(c.state, State::Reading | State::Idle);
+            let over = match c.state {
+                State::Reading if c.inbuf.is_empty() && c.outbuf.is_empty() => false,
+                State::Idle => false,
+                _ => now >= c.deadline_ms,
+            };
+            if over || resting && now >= c.active_ms + idle_most {
+                late.push(n);
+            }
+        }
+        for n in late {
+            match self.conns.get(n).map(|c| c.state.clone()) {
+                Some(State::Connecting(_)) => self.fail(n, Outcome::NotSent),
+                Some(State::Calling(_)) => self.fail(n, Outcome::Lost),
+                Some(_) => self.close(n),
+                None => {}
+            }
+        }
+        let peers: Vec<Peer> = self.queued.keys().cloned().collect();
+        for peer in peers {
+            let Some(queue) = self.queued.get_mut(&peer) else { continue };
+            let before = queue.len();
+            let mut over = Vec::new();
+            queue.retain(|w| {
+                let keep = w.deadline_ms > now;
+                if !keep {
+                    over.push(w.call.id);
+                }
+                keep
+            });
+            self.queued_total -= before - queue.len();
+            for call in over {
+                self.events.push_back(Event::Outcome { call, outcome: Outcome::NotSent });
+            }
+        }
+        self.settle();
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,36 @@
+//! Messages of quartzgate's protocols and the HTTP codec that carries them.
+//!
+//! The wire has words of its own for a few things; they appear only in the serde
+//! renames here. Everywhere else the names are the field's: Task, Machine, Zone,
+//! Team, Attempt, Epoch, Lease.
+
+pub mod http;
+pub mod msg;
+pub mod settings;
+
+use serde::{de::DeserializeOwned, Serialize};
+
+/// Deepest nesting accepted in a CBOR body; nothing in the protocols goes deeper.
+const MAX_DEPTH: usize = 32;
+
+#[derive(Debug, thiserror::Error)]
+#[error("malformed CBOR body: {0}")]
+pub struct BodyError(String);
+
+/// Encodes a message. Our own message types always encode.
+pub fn to_cbor<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut out = Vec::with_capacity(256);
+    ciborium::into_writer(value, &mut out).expect("messages are plain data");
+    out
+}
+
+/// Decodes exactly one message; bytes left over are an error.
+pub fn from_cbor<T: DeserializeOwned>(body: &[u8]) -> Result<T, BodyError> {
+    let mut rest = body;
+    let value = ciborium::de::from_reader_with_recursion_limit(&mut rest, MAX_DEPTH)
+        .map_err(|e| BodyError(e.to_string()))?;
+    if !rest.is_empty() {
+        return Err(BodyError("bytes after the end".into()));
+    }
+    Ok(value)
+}
