--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -25,6 +25,7 @@
 pub(crate) struct Cloud {
     calls: Budget,
     list_at_ms: u64,
+    listed_once: bool,
     listing: bool,
     coming: BTreeMap<String, Coming>,
     /// Types, zones and kinds that were refused, and until when they are left alone.
@@ -49,6 +50,7 @@
         Cloud {
             calls: Budget::new(cfg.platform.params.cloud.rps * 0.8),
             list_at_ms: 0,
+            listed_once: false,
             listing: false,
             coming: BTreeMap::new(),
             refused: BTreeMap::new(),
@@ -99,6 +101,7 @@
             return;
         }
         let Ok(list) = from_cbor::<MachineList>(&r.body) else { return };
+        self.cloud.listed_once = true;
         let now = self.now.steady_ms;
         let last = list.machines.last().map(|m| m.name.clone());
         let mut failed = Vec::new();
@@ -122,7 +125,7 @@
                     failed.push(ix);
                 }
                 CloudStatus::Booting => {
-                    let boot = self.boot_ms(&l.kind);
+                    let patience = self.patience_ms(&l.kind);
                     let age = (l.age_s * 1000.0) as u64;
                     self.cloud.coming.entry(l.name.clone()).or_insert(Coming {
                         kind: l.kind,
@@ -132,7 +135,7 @@
                     });
                     if known.is_some_and(|ix| self.heard(ix)) {
                         self.cloud.coming.remove(&l.name);
-                    } else if age as f64 > boot as f64 * BOOT_PATIENCE {
+                    } else if age > patience {
                         tracing::info!(machine = %l.name, age_s = l.age_s, "never came up");
                         self.cloud.coming.remove(&l.name);
                         let ix = self.machine(&l.name);
@@ -178,6 +181,11 @@
         self.machines.get(ix).is_some_and(|m| m.heard_ms > 0)
     }
 
+    /// Age past which a machine that has not come up is given up.
+    fn patience_ms(&self, kind: &str) -> u64 {
+        (self.boot_ms(kind) as f64 * BOOT_PATIENCE) as u64 + self.cfg.lease_ms()
+    }
+
     fn boot_ms(&self, kind: &str) -> u64 {
         let s = self.types.iter().find(|t| t.name == kind).map_or(60.0, |t| t.boot_s);
         (s * 1000.0) as u64
@@ -325,8 +333,12 @@
             return;
         }
         let now = self.now.steady_ms;
-        // A while to hear of what runs already.
-        if now < self.epoch_began_ms + 2 * self.cfg.report_ms() {
+        // What runs already is heard of first.
+        let unheard = self.machines.iter().any(|(_, m)| {
+            m.heard_ms == 0 && matches!(m.state, MachineState::Unheard) && m.addr.is_some()
+        });
+        let early = now < self.epoch_began_ms + 2 * self.cfg.report_ms();
+        if !self.cloud.listed_once || early && unheard {
             return;
         }
         self.cloud.refused.retain(|_, until| *until > now);
@@ -454,10 +466,7 @@
             .cloud
             .coming
             .iter()
-            .filter(|(_, c)| {
-                let patience = self.boot_ms(&c.kind) as f64 * BOOT_PATIENCE;
-                now as f64 > c.since_ms as f64 + patience
-            })
+            .filter(|(_, c)| now > c.since_ms + self.patience_ms(&c.kind))
             .map(|(n, _)| n.clone())
             .collect();
         for name in stale {
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -95,9 +95,11 @@
     }
 
     /// How long after its last proven contact with the state service a controller
-    /// may go on answering reports.
+    /// may go on answering reports. A worker's lease counts from when it sent the
+    /// report that was answered, so the time after which it drops an answer
+    /// (PROTOCOL) needs no place here.
     pub fn horizon_ms(&self) -> u64 {
-        (self.cancel_ms()).saturating_sub(self.lease_ms() + ANSWER_DROP_MS + 2 * self.margin_ms())
+        self.cancel_ms().saturating_sub(self.lease_ms() + 2 * self.margin_ms())
     }
 
     /// How long after our last answer a machine that knows our token must have
@@ -123,7 +125,8 @@
     }
 
     pub fn watch_block_ms(&self) -> u64 {
-        self.report_ms().clamp(1000, 3000)
+        // Contact must be proven several times within the horizon.
+        self.report_ms().clamp(1000, 3000).min((self.horizon_ms() / 4).max(100))
     }
 
     /// Time for an ordinary answer of the state service.
