--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -2,14 +2,16 @@
 
 use std::collections::BTreeMap;
 
-use quartzgate_wire::msg::{CloudStatus, HireRequest, JobSpec, MachineList, MachineNames, Rank};
+use quartzgate_wire::msg::{
+    CloudStatus, HireRequest, JobSpec, MachineList, MachineNames, Rank, Shape,
+};
 use quartzgate_wire::{from_cbor, to_cbor};
 
 use crate::budget::Budget;
 use crate::config::Config;
 use crate::controller::{Controller, Pending};
 use crate::ids::MachineIx;
-use crate::jobs::{JobState, TaskState};
+use crate::jobs::{Job, JobState, TaskState};
 use crate::machines::{MachineState, Room};
 use crate::{Outcome, Peer};
 
@@ -247,16 +249,16 @@
                 }
             }
         }
-        let mut jobs: Vec<_> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| j.state == JobState::Live)
-            .filter(|(_, j)| j.spec.shape != quartzgate_wire::msg::Shape::Gang)
-            .collect();
+        let mut jobs: Vec<_> =
+            self.jobs.iter().filter(|(_, j)| j.state == JobState::Live).collect();
         jobs.sort_by_key(|(ix, j)| (std::cmp::Reverse(j.spec.rank), *ix));
         let mut out = Vec::new();
         let mut extra: Vec<f64> = vec![0.0; self.teams.len()];
         for (_, job) in jobs {
+            if job.spec.shape == Shape::Gang {
+                out.extend(self.unmet_gang(job, &mut free));
+                continue;
+            }
             let dealt = job.tasks().filter(|(_, t)| t.state == TaskState::Waiting).count() as u32;
             let known: u32 =
                 job.tasks().filter(|(_, t)| t.state != TaskState::Undealt).count() as u32;
@@ -299,6 +301,46 @@
         out
     }
 
+    /// A gang's demand: all of it, in one zone if it must be together.
+    fn unmet_gang(
+        &self,
+        job: &Job,
+        free: &mut [(String, Option<u16>, bool, Room)],
+    ) -> Option<Unmet> {
+        if job.on > 0 || job.tasks().any(|(_, t)| t.state.machine().is_some()) {
+            return None;
+        }
+        let need = job.room();
+        let zones = self.cfg.platform.params.zones.len() as u16;
+        let choices: Vec<Option<u16>> =
+            if job.spec.together { (0..zones).map(Some).collect() } else { vec![None] };
+        let fits = |zone: Option<u16>, place: &(String, Option<u16>, bool, Room)| {
+            (zone.is_none() || place.1 == zone)
+                && self.allows(&job.spec, &place.0, place.1, place.2)
+        };
+        let holds = |zone: Option<u16>| -> u32 {
+            free.iter().filter(|p| fits(zone, p)).map(|p| p.3.holds(&need)).sum()
+        };
+        let allowed = |zone: &Option<u16>| {
+            zone.is_none_or(|z| {
+                let name = &self.cfg.platform.params.zones[z as usize];
+                job.spec.zone.as_ref().is_none_or(|want| want == name)
+            })
+        };
+        let zone = choices.into_iter().filter(allowed).max_by_key(|z| holds(*z))?;
+        let mut wanting = job.spec.tasks;
+        for place in free.iter_mut().filter(|p| fits(zone, p)) {
+            let n = place.3.holds(&need).min(wanting);
+            place.3.add(&need, -f64::from(n));
+            wanting -= n;
+        }
+        let mut spec = job.spec.clone();
+        if let Some(z) = zone {
+            spec.zone = Some(self.cfg.platform.params.zones[z as usize].clone());
+        }
+        (wanting > 0).then_some(Unmet { spec, tasks: wanting })
+    }
+
     /// Production tasks that would find no room, taken as a share of those running.
     fn warm_room(&self, free: &[(String, Option<u16>, bool, Room)]) -> Option<Unmet> {
         let production = || {
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -227,6 +227,7 @@
         }
         if std::mem::take(&mut self.deal_due) {
             self.deal_all();
+            self.tick_gangs();
         }
         if std::mem::take(&mut self.reprobe_due) {
             self.reprobe();
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -54,7 +54,7 @@
     }
 
     /// Whether one more task may be dealt to the team.
-    fn licence(&self, team: usize, room: &Room) -> bool {
+    pub(crate) fn licence(&self, team: usize, room: &Room) -> bool {
         let limit = &self.cfg.platform.params.teams[team];
         let used = &self.teams[team].licensed;
         let within = |used: f64, more: f64, max: f64| max <= 0.0 || used + more <= max + 1e-6;
@@ -313,7 +313,7 @@
 
     /// Gives a task the machines that it may start on, beside those where an
     /// earlier owner may have started it.
-    fn set_probes(&mut self, key: TaskKey, machines: Vec<MachineIx>, zone: Option<u16>) {
+    pub(crate) fn set_probes(&mut self, key: TaskKey, machines: Vec<MachineIx>, zone: Option<u16>) {
         let Some(job) = self.jobs.get_mut(key.job) else { return };
         let Some(c) = job.chunk_of(key.task) else { return };
         let version = c.version + 1;
@@ -366,7 +366,8 @@
         let now = self.now.steady_ms;
         let mut waiting: Vec<(Rank, u64, TaskKey)> = Vec::new();
         for (ix, job) in self.jobs.iter() {
-            if job.state != JobState::Live || job.waiting == 0 {
+            let gang = job.spec.shape == Shape::Gang;
+            if job.state != JobState::Live || job.waiting == 0 || gang {
                 continue;
             }
             for (n, t) in job.tasks() {
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use quartzgate_wire::msg::{Rank, TaskStatus};
+use quartzgate_wire::msg::{Rank, Shape, TaskStatus};
 
 use crate::controller::Controller;
 use crate::ids::{MachineIx, TaskKey};
@@ -158,7 +158,9 @@
             for key in &m.queue {
                 let Some(job) = self.jobs.get(key.job) else { continue };
                 let Some(task) = job.task(key.task) else { continue };
-                if !self.startable(job, *key, task, ix) {
+                // A gang's tasks are started together or not at all.
+                let gang = job.spec.shape == Shape::Gang;
+                if gang || !self.startable(job, *key, task, ix) {
                     continue;
                 }
                 if let Some(better) = self.image_elsewhere(job, task, ix) {
@@ -204,7 +206,7 @@
 
     /// The proof rule: the record names this machine for the task, and no other
     /// machine that the task was ever probed to can hold it.
-    fn startable(&self, job: &Job, key: TaskKey, task: &Task, ix: MachineIx) -> bool {
+    pub(crate) fn startable(&self, job: &Job, key: TaskKey, task: &Task, ix: MachineIx) -> bool {
         let Some(chunk) = job.chunks.get(&(key.task / crate::records::CHUNK)) else { return false };
         job.state == JobState::Live
             && task.state == TaskState::Waiting
@@ -236,6 +238,10 @@
 
     fn bind(&mut self, key: TaskKey, ix: MachineIx) {
         let attempt = self.next_attempt();
+        self.bind_as(key, ix, attempt);
+    }
+
+    pub(crate) fn bind_as(&mut self, key: TaskKey, ix: MachineIx, attempt: u64) {
         let Some(task) = self.jobs.task_mut(key) else { return };
         task.slack = 0;
         let probes: Vec<MachineIx> = task.probes.iter().map(|p| p.machine).collect();
@@ -256,7 +262,9 @@
     pub(crate) fn preempt(&mut self) {
         let mut asking: Vec<(Rank, u64, TaskKey)> = Vec::new();
         for (ix, job) in self.jobs.iter() {
-            if job.state != JobState::Live || job.waiting == 0 || job.spec.rank < Rank::High {
+            let gang = job.spec.shape == Shape::Gang;
+            if job.state != JobState::Live || job.waiting == 0 || job.spec.rank < Rank::High || gang
+            {
                 continue;
             }
             for (n, t) in job.tasks() {
@@ -344,6 +352,10 @@
     /// Tells a task to stop; it saves if it can.
     pub(crate) fn stop_task(&mut self, key: TaskKey, why: &str) {
         let Some(job) = self.jobs.get(key.job) else { return };
+        if job.spec.shape == Shape::Gang {
+            tracing::debug!(job = %job.id, why, "stopping the gang");
+            return self.stop_gang(key.job);
+        }
         let Some(task) = job.task(key.task) else { return };
         let (machine, attempt) = match task.state {
             TaskState::On { machine, attempt, .. } => (machine, attempt),
--- /dev/null
+++ b/crates/core/src/gang.rs
@@ -0,0 +1,230 @@
+//! Gangs: all tasks placed at once, recorded at once, started under one attempt
+//! number once every member holds room; stopped together.
+
+use std::collections::BTreeMap;
+
+use quartzgate_wire::msg::{Shape, TaskStatus};
+
+use crate::controller::Controller;
+use crate::ids::{JobIx, MachineIx, TaskKey};
+use crate::jobs::{Job, JobState, TaskState};
+use crate::machines::Room;
+use crate::records::CHUNK;
+
+/// Where a gang stands, as its tasks show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum GangState {
+    /// Every task is provably on no machine.
+    Idle,
+    /// Every task is on a machine or about to be.
+    Together,
+    /// Some may still be on machines that have not said so.
+    Unproven,
+    /// Some are on machines and some provably are not: it can't go on like this.
+    Broken,
+}
+
+impl GangState {
+    fn of(job: &Job) -> GangState {
+        let (mut idle, mut on, mut unproven) = (job.chunks.is_empty(), false, false);
+        for (_, t) in job.tasks() {
+            match t.state {
+                TaskState::Undealt | TaskState::Waiting => idle = true,
+                TaskState::Unproven => unproven = true,
+                TaskState::Done { .. } | TaskState::Dropped => {}
+                _ => on = true,
+            }
+        }
+        match (idle, on, unproven) {
+            (_, _, true) => GangState::Unproven,
+            (true, true, _) => GangState::Broken,
+            (true, false, _) => GangState::Idle,
+            (false, _, _) => GangState::Together,
+        }
+    }
+}
+
+impl Controller {
+    /// Moves every gang on as far as it can go now.
+    pub(crate) fn tick_gangs(&mut self) {
+        let gangs: Vec<JobIx> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.spec.shape == Shape::Gang && j.state == JobState::Live && !j.busy)
+            .map(|(ix, _)| ix)
+            .collect();
+        for ix in gangs {
+            let Some(job) = self.jobs.get(ix) else { continue };
+            match GangState::of(job) {
+                GangState::Idle => {
+                    if !self.start_gang(ix) {
+                        self.plan_gang(ix);
+                    }
+                }
+                GangState::Broken => self.break_gang(ix),
+                GangState::Together | GangState::Unproven => {}
+            }
+        }
+    }
+
+    /// The whole gang fits a set of machines, or is not dealt at all.
+    fn plan_gang(&mut self, ix: JobIx) {
+        let now = self.now.steady_ms;
+        let Some(job) = self.jobs.get(ix) else { return };
+        if job.chunks.values().any(|c| c.busy || c.dirty)
+            || job.tasks().any(|(_, t)| t.not_before_ms > now)
+        {
+            return;
+        }
+        let (need, tasks, together) = (job.room(), job.spec.tasks, job.spec.together);
+        let spread = job.spec.spread;
+        let dealt = job.tasks().filter(|(_, t)| t.state.licensed()).count() as u32;
+        let mut all = Room::default();
+        all.add(&need, f64::from(tasks - dealt));
+        if !self.licence(job.team, &all) {
+            return;
+        }
+        let zones = self.cfg.platform.params.zones.len() as u16;
+        let mut rooms: Vec<(MachineIx, Option<u16>, u32)> = Vec::new();
+        for (mix, m) in self.machines.iter() {
+            if !m.usable()
+                || now < m.no_room_until_ms
+                || !self.allows(&job.spec, &m.kind, m.zone, m.spot)
+                || job.errors_on.contains(&mix)
+            {
+                continue;
+            }
+            rooms.push((mix, m.zone, self.free_room(m).holds(&need)));
+        }
+        rooms.sort_by_key(|(_, _, holds)| std::cmp::Reverse(*holds));
+        if together {
+            let room = |z: u16| -> u32 {
+                rooms.iter().filter(|(_, zone, _)| *zone == Some(z)).map(|(_, _, n)| n).sum()
+            };
+            let Some(best) = (0..zones).filter(|z| room(*z) >= tasks).max_by_key(|z| room(*z))
+            else {
+                return;
+            };
+            rooms.retain(|(_, z, _)| *z == Some(best));
+        }
+        let most = if spread { tasks.div_ceil(2) } else { tasks };
+        let mut in_zone: BTreeMap<Option<u16>, u32> = BTreeMap::new();
+        let mut places: Vec<(MachineIx, Option<u16>)> = Vec::with_capacity(tasks as usize);
+        for (mix, zone, holds) in rooms {
+            let used = in_zone.entry(zone).or_default();
+            let n = holds.min(tasks - places.len() as u32).min(most - *used);
+            *used += n;
+            places.extend((0..n).map(|_| (mix, zone)));
+        }
+        if (places.len() as u32) < tasks {
+            return;
+        }
+        for chunk in 0..tasks.div_ceil(CHUNK) {
+            let Some(job) = self.jobs.get(ix) else { return };
+            if !job.chunks.contains_key(&chunk) {
+                let len = job.chunk_len(chunk);
+                let fresh = self.new_chunk(len);
+                if let Some(j) = self.jobs.get_mut(ix) {
+                    j.chunks.insert(chunk, fresh);
+                }
+            }
+        }
+        if let Some(j) = self.jobs.get_mut(ix) {
+            j.next = tasks;
+            j.zone = if together { places[0].1 } else { None };
+        }
+        for (n, (mix, zone)) in places.into_iter().enumerate() {
+            let key = TaskKey { job: ix, task: n as u32 };
+            let fixed = if together || spread { zone } else { None };
+            self.set_probes(key, vec![mix], fixed);
+            self.task_to(key, TaskState::Waiting);
+            self.mark_dirty(ix, n as u32 / CHUNK);
+        }
+    }
+
+    /// Starts a gang whose places are on record and still free. False if it has to
+    /// be placed anew.
+    fn start_gang(&mut self, ix: JobIx) -> bool {
+        if !self.commands_workers() {
+            return true;
+        }
+        let Some(job) = self.jobs.get(ix) else { return true };
+        if job.chunks.is_empty() || job.done >= job.spec.tasks {
+            return job.done > 0;
+        }
+        if job.chunks.values().any(|c| c.busy || c.dirty) {
+            return true;
+        }
+        let need = job.room();
+        let mut wanted: BTreeMap<MachineIx, Room> = BTreeMap::new();
+        let mut places = Vec::new();
+        for (n, t) in job.tasks() {
+            let key = TaskKey { job: ix, task: n };
+            let Some(p) = t.probes.iter().find(|p| self.startable(job, key, t, p.machine)) else {
+                return false;
+            };
+            wanted.entry(p.machine).or_default().add(&need, 1.0);
+            places.push((key, p.machine));
+        }
+        let fits = wanted.iter().all(|(m, room)| {
+            self.machines.get(*m).is_some_and(|m| m.usable() && self.free_room(m).fits(room))
+        });
+        if !fits || places.len() as u32 != job.spec.tasks {
+            return false;
+        }
+        let attempt = self.next_attempt();
+        for (key, machine) in places {
+            self.bind_as(key, machine, attempt);
+        }
+        true
+    }
+
+    /// A gang that has lost a task: those that run notice by themselves, those that
+    /// wait for the others are told.
+    fn break_gang(&mut self, ix: JobIx) {
+        let Some(job) = self.jobs.get(ix) else { return };
+        let waiting: Vec<(TaskKey, MachineIx, u64)> = job
+            .tasks()
+            .filter_map(|(n, t)| match t.state {
+                TaskState::On { machine, attempt, status, .. }
+                    if matches!(status, TaskStatus::Waiting | TaskStatus::Fetching) =>
+                {
+                    Some((TaskKey { job: ix, task: n }, machine, attempt))
+                }
+                _ => None,
+            })
+            .collect();
+        for (key, machine, attempt) in waiting {
+            self.task_to(key, TaskState::Stopping { machine, attempt, grace: false });
+            self.needs_orders.insert(machine);
+        }
+    }
+
+    /// Tells all of a gang to stop at once, so that its progress is saved.
+    pub(crate) fn stop_gang(&mut self, ix: JobIx) {
+        let Some(job) = self.jobs.get(ix) else { return };
+        let grace = job.spec.checkpoint_s > 0.0;
+        let on: Vec<(TaskKey, MachineIx, u64)> = job
+            .tasks()
+            .filter_map(|(n, t)| match t.state {
+                TaskState::On { machine, attempt, .. } => {
+                    Some((TaskKey { job: ix, task: n }, machine, attempt))
+                }
+                _ => None,
+            })
+            .collect();
+        for (key, machine, attempt) in on {
+            self.task_to(key, TaskState::Stopping { machine, attempt, grace });
+            self.needs_orders.insert(machine);
+        }
+    }
+
+    /// One task of a gang is done, and so all are.
+    pub(crate) fn gang_done(&mut self, ix: JobIx) {
+        let Some(job) = self.jobs.get(ix) else { return };
+        let rest: Vec<u32> = job.tasks().map(|(n, _)| n).collect();
+        for task in rest {
+            self.task_done(TaskKey { job: ix, task });
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 mod controller;
 mod deal;
 mod dispatch;
+mod gang;
 mod ids;
 mod jobs;
 mod machines;
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use quartzgate_wire::http::Response;
-use quartzgate_wire::msg::{Cause, Order, OrdersRequest, Redirect, Report, ReportAnswer};
+use quartzgate_wire::msg::{Cause, Order, OrdersRequest, Redirect, Report, ReportAnswer, Shape};
 use quartzgate_wire::msg::{ReportTask, TaskStatus};
 use quartzgate_wire::{from_cbor, to_cbor};
 
@@ -397,7 +397,10 @@
                     if let Some(m) = self.machines.get_mut(ix) {
                         m.failed_jobs.clear();
                     }
-                    self.task_done(key);
+                    match self.jobs.get(job_ix).map(|j| j.spec.shape) {
+                        Some(Shape::Gang) => self.gang_done(job_ix),
+                        _ => self.task_done(key),
+                    }
                 }
                 _ if !mine => {}
                 Some(Cause::Error) => {
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -313,6 +313,7 @@
                 }
                 self.touch_probed(job);
                 self.preempt_due = true;
+                self.deal_due = true;
                 self.store.touch_job(job);
             }
             FlushItem::End { job, chunks } => {
