--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -277,6 +277,10 @@
             extra[job.team] += f64::from(undealt) * job.spec.cpus;
             let mut wanting = dealt + undealt;
             let need = job.room();
+            if job.spec.spread {
+                out.extend(self.unmet_spread(job, wanting, &mut free));
+                continue;
+            }
             let mut took = Vec::new();
             for (at, (kind, zone, spot, room)) in free.iter_mut().enumerate() {
                 if wanting == 0 {
@@ -301,6 +305,51 @@
         out
     }
 
+    /// Demand of a job that is spread: each zone takes no more than the half.
+    fn unmet_spread(
+        &self,
+        job: &Job,
+        wanting: u32,
+        free: &mut [(String, Option<u16>, bool, Room)],
+    ) -> Vec<Unmet> {
+        let zones = &self.cfg.platform.params.zones;
+        let need = job.room();
+        let most = job.spec.tasks.div_ceil(2);
+        let mut counts = vec![0u32; zones.len()];
+        for (_, t) in job.tasks().filter(|(_, t)| t.state.machine().is_some()) {
+            if let Some(z) = t.zone {
+                counts[z as usize] += 1;
+            }
+        }
+        let mut short = vec![0u32; zones.len()];
+        for _ in 0..wanting {
+            let place = free.iter_mut().filter(|(kind, zone, spot, room)| {
+                zone.is_some_and(|z| counts[z as usize] < most)
+                    && self.allows(&job.spec, kind, *zone, *spot)
+                    && room.fits(&need)
+            });
+            if let Some(p) = place.min_by_key(|p| p.1.map_or(0, |z| counts[z as usize])) {
+                p.3.add(&need, -1.0);
+                counts[p.1.unwrap_or(0) as usize] += 1;
+                continue;
+            }
+            let open = (0..zones.len()).filter(|z| {
+                counts[*z] < most && job.spec.zone.as_ref().is_none_or(|want| *want == zones[*z])
+            });
+            if let Some(z) = open.min_by_key(|z| counts[*z]) {
+                counts[z] += 1;
+                short[z] += 1;
+            }
+        }
+        let in_zone = |z: usize| {
+            let mut spec = job.spec.clone();
+            spec.zone = Some(zones[z].clone());
+            spec
+        };
+        let wanted = short.iter().enumerate().filter(|(_, n)| **n > 0);
+        wanted.map(|(z, n)| Unmet { spec: in_zone(z), tasks: *n }).collect()
+    }
+
     /// A gang's demand: all of it, in one zone if it must be together.
     fn unmet_gang(
         &self,
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -379,6 +379,8 @@
         waiting.sort_by_key(|(rank, arrived, _)| (std::cmp::Reverse(*rank), *arrived));
         let mut last: Option<(JobIx, Vec<Candidate>)> = None;
         for (_, _, key) in waiting.into_iter().take(DEAL_AT_ONCE as usize) {
+            // A machine may have become usable since the task began to wait.
+            self.enqueue(key);
             let Some(job) = self.jobs.get(key.job) else { continue };
             let Some(task) = job.task(key.task) else { continue };
             let need = job.room();
--- a/crates/core/src/gang.rs
+++ b/crates/core/src/gang.rs
@@ -186,11 +186,12 @@
         let waiting: Vec<(TaskKey, MachineIx, u64)> = job
             .tasks()
             .filter_map(|(n, t)| match t.state {
-                TaskState::On { machine, attempt, status, .. }
-                    if matches!(status, TaskStatus::Waiting | TaskStatus::Fetching) =>
-                {
-                    Some((TaskKey { job: ix, task: n }, machine, attempt))
-                }
+                TaskState::On {
+                    machine,
+                    attempt,
+                    status: TaskStatus::Waiting | TaskStatus::Fetching,
+                    ..
+                } => Some((TaskKey { job: ix, task: n }, machine, attempt)),
                 _ => None,
             })
             .collect();
--- /dev/null
+++ b/crates/core/tests/stories.rs
@@ -0,0 +1,446 @@
+//! Stories of things that go wrong, told against an in-memory cluster that knows
+//! the rules. Each says what it guards.
+
+mod world;
+
+use quartzgate_wire::msg::{JobStatus, Shape, TaskStatus};
+use world::{job, Cut, End, World, CANCEL_MS};
+
+/// Guards the whole ordinary path: accepted, started, told done; a service runs its
+/// replicas until it is aborted, and what nobody submitted is unknown.
+#[test]
+fn a_quiet_day() {
+    let mut w = World::new(3, 4, 0.0, 1);
+    w.run(500);
+    w.submit_surely(&job("wk-000001", Shape::Array, 6));
+    w.submit_surely(&job("wk-000002", Shape::Service, 2));
+    w.until_done("wk-000001", 20_000);
+    assert_eq!(w.on("wk-000002").len(), 2);
+    w.abort_surely("wk-000002");
+    w.until(3_000, "replicas are gone", |w| w.on("wk-000002").is_empty());
+    let (poll, abort) = (w.poll(1, "wk-000009"), w.abort(2, "wk-000009"));
+    w.run(1_000);
+    assert_eq!((w.status(poll), w.status(abort)), (404, 404));
+    w.keep_rules();
+}
+
+/// Guards repeats: a known job is 200 with its present state, ended or not, whichever
+/// node is asked, and a changed mind about its fitness never turns it into a refusal.
+#[test]
+fn a_repeated_submission_is_never_refused() {
+    let mut w = World::new(3, 2, 0.0, 2);
+    w.run(500);
+    let spec = job("wk-000001", Shape::Array, 1);
+    w.submit_surely(&spec);
+    w.until_done("wk-000001", 20_000);
+    let mut misfit = spec.clone();
+    misfit.cpus = 500.0;
+    for n in 0..3 {
+        let (same, other) = (w.submit(n, &spec), w.submit(n, &misfit));
+        w.run(500);
+        assert_eq!((w.status(same), w.status(other)), (200, 200));
+    }
+    w.keep_rules();
+}
+
+/// Guards takeover from a leader that the state service alone refuses: its lease runs
+/// out, another leads, and whatever the old one kept running is not started again.
+#[test]
+fn an_owner_cut_from_the_state_service_is_replaced() {
+    for seed in 0..6 {
+        let mut w = World::new(3, 4, 0.0, 100 + seed);
+        w.run(500);
+        w.run_ms.insert("wk-000001".into(), 9_000);
+        w.submit_surely(&job("wk-000001", Shape::Array, 12));
+        let old = w.leader().unwrap();
+        w.state.refuses.insert(old);
+        w.until(20_000, "another leads", |w| w.leader().is_some_and(|l| l != old));
+        w.run(5_000);
+        w.state.refuses.clear();
+        w.until_done("wk-000001", 120_000);
+        w.keep_rules();
+    }
+}
+
+/// Guards the horizon and the inheritance rule: an old owner that is cut from all but
+/// some workers keeps them alive for a while; the new owner starts nothing that may
+/// still be there, and by the horizon all of it is gone.
+#[test]
+fn an_old_owner_with_workers_of_its_own_side() {
+    for seed in 0..6 {
+        let mut w = World::new(3, 4, 0.0, 200 + seed);
+        w.run(500);
+        w.run_ms.insert("wk-000001".into(), 600_000);
+        w.submit_surely(&job("wk-000001", Shape::Array, 6));
+        w.until(5_000, "all run", |w| w.on("wk-000001").len() == 6);
+        let old = w.leader().unwrap();
+        // Two workers stay with the old owner; all else is on the other side.
+        let (mine, theirs) = (["vm-000000", "vm-000001"], ["vm-000002", "vm-000003"]);
+        w.cut(End::Node(old), End::State, Cut::Hold);
+        for n in (0..3).filter(|n| *n != old) {
+            w.cut(End::Node(old), End::Node(n), Cut::Hold);
+            mine.iter().for_each(|m| w.cut(End::Node(n), End::Worker(m.to_string()), Cut::Hold));
+        }
+        theirs.iter().for_each(|m| w.cut(End::Node(old), End::Worker(m.to_string()), Cut::Hold));
+        w.until(20_000, "another leads", |w| w.leader().is_some_and(|l| l != old));
+        let other = w.leader().unwrap();
+        w.until(10_000, "the new leader can abort", |w| w.told.contains_key("wk-000001"));
+        let mut aborted = false;
+        for _ in 0..20 {
+            let a = w.abort(other, "wk-000001");
+            w.run(1_000);
+            aborted = w.status(a) == 200;
+            if aborted {
+                break;
+            }
+        }
+        assert!(aborted);
+        // The world notes a breach if a task is on a machine past `cancel_s`.
+        w.run(CANCEL_MS + 10_000);
+        assert!(w.on("wk-000001").is_empty());
+        w.heal();
+        w.run(20_000);
+        w.keep_rules();
+    }
+}
+
+/// Guards against orders that arrive after a takeover: held by the network, let go
+/// when another owner commands the machines, they must find a higher token.
+#[test]
+fn late_orders_after_a_takeover_do_nothing() {
+    for seed in 0..8 {
+        let mut w = World::new(3, 4, 0.0, 300 + seed);
+        w.run(500);
+        w.submit_surely(&job("wk-000001", Shape::Array, 1));
+        w.until_done("wk-000001", 20_000);
+        let old = w.leader().unwrap();
+        // Starts are ordered, but the orders stay in the network.
+        for m in 0..4 {
+            w.cut(End::Node(old), End::Worker(format!("vm-{m:06}")), Cut::Hold);
+        }
+        w.run_ms.insert("wk-000002".into(), 15_000);
+        let spec = job("wk-000002", Shape::Array, 8);
+        w.submit(old, &spec);
+        w.run(600);
+        w.kill(old);
+        w.until(20_000, "another leads", |w| w.leader().is_some_and(|l| l != old));
+        w.until(40_000, "all run", |w| w.on("wk-000002").len() == 8);
+        w.heal();
+        w.run(3_000);
+        w.start(old);
+        w.until_done("wk-000002", 60_000);
+        w.keep_rules();
+    }
+}
+
+/// Guards the token that rises with every order whose fate is unknown: a start held
+/// by the network must not run once its task has been started elsewhere.
+#[test]
+fn a_late_order_of_the_same_owner_does_nothing() {
+    for seed in 0..8 {
+        let mut w = World::new(1, 4, 0.0, 400 + seed);
+        w.run(2_000);
+        // Orders to two machines are held; reports still pass, so the lease lives on.
+        w.run_ms.insert("wk-000001".into(), 4_000);
+        let held = ["vm-000000", "vm-000002"];
+        held.iter().for_each(|m| w.cut(End::Node(0), End::Worker(m.to_string()), Cut::Hold));
+        w.submit_surely(&job("wk-000001", Shape::Array, 8));
+        w.run(3_000);
+        w.heal();
+        w.run(500);
+        w.until_done("wk-000001", 90_000);
+        w.keep_rules();
+    }
+}
+
+/// Guards records written before starts: every controller dies at any moment between
+/// the acceptance, the record, the start and the end, and nothing runs twice or is lost.
+#[test]
+fn all_controllers_die_at_any_moment() {
+    for step in 0..24 {
+        let mut w = World::new(3, 4, 32.0, 500 + step);
+        w.run(500);
+        w.run_ms.insert("wk-000001".into(), 1_500);
+        let spec = job("wk-000001", Shape::Array, 10);
+        w.submit(0, &spec);
+        w.run(1 + step * step * 7);
+        (0..3).for_each(|n| w.kill_for(n, 3_000));
+        w.run(3_500);
+        w.submit_surely(&spec);
+        w.until_done("wk-000001", 90_000);
+        w.run(3_000);
+        w.keep_rules();
+    }
+}
+
+/// Guards the abort that races a start: whatever order they come in, the task is gone
+/// in time and never starts again, and the answer stays.
+#[test]
+fn an_abort_races_a_start() {
+    for step in 0..20 {
+        let mut w = World::new(3, 4, 0.0, 600 + step);
+        w.run(1_500);
+        w.run_ms.insert("wk-000001".into(), 300_000);
+        w.submit((step % 3) as usize, &job("wk-000001", Shape::Array, 6));
+        w.run(1 + step * 3);
+        w.abort_surely("wk-000001");
+        w.run(CANCEL_MS + 5_000);
+        assert!(w.on("wk-000001").is_empty());
+        assert_eq!(w.told["wk-000001"], JobStatus::Aborted);
+        w.keep_rules();
+    }
+}
+
+/// Guards writes without an answer: executed all the same, they are found by reading,
+/// and nothing is lost, repeated or told wrongly.
+#[test]
+fn the_state_service_executes_without_answering() {
+    for swallowed in 1..8 {
+        let mut w = World::new(3, 4, 0.0, 700 + u64::from(swallowed));
+        w.run(1_000);
+        w.state.swallow_answers = swallowed;
+        w.submit_surely(&job("wk-000001", Shape::Array, 6));
+        w.state.swallow_answers = swallowed;
+        w.until_done("wk-000001", 60_000);
+        w.submit_surely(&job("wk-000002", Shape::Service, 2));
+        w.state.swallow_answers = 2;
+        w.abort_surely("wk-000002");
+        w.run(CANCEL_MS);
+        assert!(w.on("wk-000002").is_empty());
+        w.keep_rules();
+    }
+}
+
+/// Guards the team's limit across a takeover: tasks on machines that the new owner
+/// can't reach count until they are provably gone.
+#[test]
+fn quota_holds_over_a_takeover() {
+    for seed in 0..6 {
+        // 16 CPUs: four tasks at a time, and room on the machines for ten.
+        let mut w = World::new(3, 5, 16.0, 800 + seed);
+        w.run(500);
+        w.run_ms.insert("wk-000001".into(), 40_000);
+        w.submit_surely(&job("wk-000001", Shape::Array, 12));
+        w.until(5_000, "four run", |w| w.on("wk-000001").len() == 4);
+        let old = w.leader().unwrap();
+        let near = w.on("wk-000001")[0].1.clone();
+        for n in (0..3).filter(|n| *n != old) {
+            w.cut(End::Node(n), End::Worker(near.clone()), Cut::Drop);
+            w.cut(End::Node(n), End::Node(old), Cut::Drop);
+        }
+        w.state.refuses.insert(old);
+        w.run(45_000);
+        w.heal();
+        w.state.refuses.clear();
+        w.until_done("wk-000001", 300_000);
+        w.keep_rules();
+    }
+}
+
+/// Guards `spread` when a zone is lost: replicas there count for as long as they may
+/// linger, and the rest never crowds into one zone beyond the half.
+#[test]
+fn spread_holds_when_a_zone_is_lost() {
+    let mut w = World::new(3, 6, 0.0, 900);
+    w.run(500);
+    let mut spec = job("wk-000001", Shape::Service, 5);
+    spec.spread = true;
+    w.submit_surely(&spec);
+    w.until(5_000, "all run", |w| w.on("wk-000001").len() == 5);
+    let zone_a: Vec<String> =
+        w.workers.iter().filter(|(_, x)| x.zone == "a").map(|(n, _)| n.clone()).collect();
+    for n in 0..3 {
+        zone_a.iter().for_each(|m| w.cut(End::Node(n), End::Worker(m.clone()), Cut::Drop));
+    }
+    w.run(30_000);
+    w.cloud_off = false;
+    let b = w.on("wk-000001").iter().filter(|(_, m)| w.workers[m].zone == "b").count();
+    assert!(b <= 3);
+    w.heal();
+    w.until(30_000, "all run again", |w| w.on("wk-000001").len() == 5);
+    w.keep_rules();
+}
+
+/// Guards users when no leader can be reached: a follower records the job itself, and
+/// the next leader finds it.
+#[test]
+fn a_job_accepted_past_the_leader_is_run() {
+    let mut w = World::new(3, 4, 0.0, 1000);
+    w.run(1_500);
+    let leader = w.leader().unwrap();
+    let other = (leader + 1) % 3;
+    for n in (0..3).filter(|n| *n != leader) {
+        w.cut(End::Node(leader), End::Node(n), Cut::Drop);
+    }
+    w.run(4_000);
+    let a = w.submit(other, &job("wk-000001", Shape::Array, 3));
+    w.run(3_000);
+    assert_eq!(w.status(a), 201);
+    w.until_done("wk-000001", 30_000);
+    // And an abort past the leader reaches it as well.
+    w.run_ms.insert("wk-000002".into(), 300_000);
+    w.submit(leader, &job("wk-000002", Shape::Array, 3));
+    w.until(5_000, "all run", |w| w.on("wk-000002").len() == 3);
+    let a = w.abort(other, "wk-000002");
+    w.run(3_000);
+    assert_eq!(w.status(a), 200);
+    w.until(5_000, "gone", |w| w.on("wk-000002").is_empty());
+    w.keep_rules();
+}
+
+/// Guards users in an outage: answers come at once, 503 with Retry-After, and what has
+/// ended is still told; nothing is forgotten afterwards.
+#[test]
+fn an_outage_is_answered_at_once() {
+    let mut w = World::new(3, 4, 0.0, 1100);
+    w.run(500);
+    w.submit_surely(&job("wk-000001", Shape::Array, 2));
+    w.until_done("wk-000001", 20_000);
+    w.submit_surely(&job("wk-000002", Shape::Service, 2));
+    w.until(5_000, "both run", |w| w.on("wk-000002").len() == 2);
+    w.state.down = true;
+    w.run(6_000);
+    let leader = w.leader().unwrap();
+    let (ended, live) = (w.poll(leader, "wk-000001"), w.poll(leader, "wk-000002"));
+    let fresh = w.submit(leader, &job("wk-000003", Shape::Array, 2));
+    let ready = w.ask(leader, "GET", "/ready", Vec::new());
+    w.run(100);
+    assert_eq!((w.status(ended), w.status(live), w.status(fresh)), (200, 503, 503));
+    assert_eq!(w.status(ready), 200);
+    w.state.down = false;
+    w.submit_surely(&job("wk-000003", Shape::Array, 2));
+    w.until_done("wk-000003", 30_000);
+    assert_eq!(w.on("wk-000002").len(), 2, "replicas live through the outage");
+    w.keep_rules();
+}
+
+/// Guards gangs: all or none, one attempt, and a lost member brings the whole gang back.
+#[test]
+fn a_gang_that_loses_a_task_starts_again_whole() {
+    let mut w = World::new(3, 4, 0.0, 1200);
+    w.run(500);
+    w.run_ms.insert("wk-000001".into(), 8_000);
+    let mut spec = job("wk-000001", Shape::Gang, 4);
+    spec.together = true;
+    w.submit_surely(&spec);
+    w.until(5_000, "it runs", |w| running(w, "wk-000001") == 4);
+    let lost = w.on("wk-000001")[0].1.clone();
+    w.workers.get_mut(&lost).unwrap().dead = true;
+    w.add_worker();
+    w.add_worker();
+    w.until_done("wk-000001", 60_000);
+    let attempts: std::collections::BTreeSet<u64> =
+        w.starts["wk-000001/0"].iter().map(|s| s.1).collect();
+    assert!(attempts.len() >= 2);
+    w.keep_rules();
+}
+
+fn running(w: &World, id: &str) -> usize {
+    let prefix = format!("{id}/");
+    w.workers
+        .values()
+        .filter(|w| !w.dead)
+        .flat_map(|w| &w.tasks)
+        .filter(|(t, h)| t.starts_with(&prefix) && h.status == TaskStatus::Running)
+        .count()
+}
+
+/// Guards against a machine that fails all it is given: it is quarantined and the work
+/// is done elsewhere.
+#[test]
+fn a_faulty_machine_is_quarantined() {
+    let mut w = World::new(3, 4, 0.0, 1300);
+    w.run(500);
+    w.workers.get_mut("vm-000001").unwrap().fails = true;
+    for n in 1..5 {
+        w.submit_surely(&job(&format!("wk-00000{n}"), Shape::Array, 8));
+    }
+    for n in 1..5 {
+        w.until_done(&format!("wk-00000{n}"), 60_000);
+    }
+    w.keep_rules();
+}
+
+/// Guards against everything at once: random kills, cuts, outages, hangs and aborts
+/// over a lossy network. The rules hold and, once it is calm, all work is done.
+#[test]
+fn storms() {
+    use rand::{rngs::SmallRng, Rng, SeedableRng};
+    for seed in 0..30 {
+        let mut w = World::new(3, 6, 32.0, 2000 + seed);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        w.loss = 0.01;
+        w.max_delay = 60;
+        w.cloud_off = false;
+        w.run(1_000);
+        let mut ids = Vec::new();
+        for n in 0..12 {
+            let id = format!("wk-{:06}", n + 1);
+            let shape = match n % 4 {
+                0 => Shape::Service,
+                3 => Shape::Gang,
+                _ => Shape::Array,
+            };
+            w.run_ms.insert(id.clone(), rng.random_range(500..12_000));
+            let mut spec = job(&id, shape, rng.random_range(1..5));
+            spec.spread = shape == Shape::Service;
+            w.submit(rng.random_range(0..3), &spec);
+            ids.push((id, spec));
+            let node = rng.random_range(0..3);
+            let how = if rng.random_bool(0.5) { Cut::Hold } else { Cut::Drop };
+            match rng.random_range(0..9) {
+                0 => w.kill_for(node, 3_000),
+                1 => (0..3).for_each(|n| w.kill_for(n, 2_000)),
+                2 => w.cut(End::Node(node), End::State, how),
+                3 => {
+                    w.state.refuses.insert(node);
+                }
+                4 => w.state.down = !w.state.down,
+                5 => w.cut(End::Node(node), End::Node((node + 1) % 3), how),
+                6 => {
+                    let names: Vec<String> = w.workers.keys().cloned().collect();
+                    let name = names[rng.random_range(0..names.len())].clone();
+                    w.workers.get_mut(&name).unwrap().hung_until =
+                        w.now + rng.random_range(2_000..12_000);
+                }
+                7 => {
+                    let names: Vec<String> = w.workers.keys().cloned().collect();
+                    for name in names.iter().filter(|_| rng.random_bool(0.4)) {
+                        w.cut(End::Node(node), End::Worker(name.clone()), how);
+                    }
+                }
+                _ => {
+                    w.heal();
+                    w.state.refuses.clear();
+                    w.state.down = false;
+                }
+            }
+            if rng.random_bool(0.2) {
+                let at = rng.random_range(0..ids.len());
+                let id = ids[at].0.clone();
+                w.abort(node, &id);
+            }
+            w.run(rng.random_range(500..8_000));
+        }
+        w.heal();
+        w.state.refuses.clear();
+        w.state.down = false;
+        (0..3).for_each(|n| w.kill_for(n, 1_000));
+        w.run(2_000);
+        for (id, spec) in &ids {
+            if spec.shape == Shape::Service {
+                w.submit_surely(spec);
+                w.abort_surely(id);
+            }
+        }
+        for (id, spec) in &ids {
+            if spec.shape != Shape::Service {
+                w.submit_surely(spec);
+                if w.told.get(id) != Some(&JobStatus::Aborted) {
+                    w.until_done(id, 300_000);
+                }
+            }
+        }
+        w.keep_rules();
+    }
+}
--- /dev/null
+++ b/crates/core/tests/world/mod.rs
@@ -0,0 +1,1250 @@
+//! An in-memory cluster: controllers, state service, cloud and workers on one clock,
+//! joined by a network that delays, loses, holds and reorders. It knows the rules
+//! and notes every breach.
+
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+
+use quartzgate_core::config::{Config, Operator};
+use quartzgate_core::{Action, Call, CallId, Controller, Event, Now, Outcome, Peer};
+use quartzgate_wire::http::{Request, Response};
+use quartzgate_wire::msg::*;
+use quartzgate_wire::settings::Platform;
+use quartzgate_wire::{from_cbor, to_cbor};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+pub const REPORT_MS: u64 = 1_000;
+pub const LEASE_MS: u64 = 8_000;
+pub const CANCEL_MS: u64 = 24_000;
+
+/// Who can be cut from whom.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum End {
+    Node(usize),
+    State,
+    Cloud,
+    Worker(String),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Messages are lost.
+    Drop,
+    /// Requests are held and delivered when the cut ends; answers are lost.
+    Hold,
+}
+
+enum Msg {
+    Tick { node: usize, life: u32 },
+    Call { from: usize, life: u32, call: Call },
+    Outcome { node: usize, life: u32, call: CallId, outcome: Outcome },
+    WatchEnd { node: usize, life: u32, call: CallId, starts: String, since: u64, until: u64 },
+    Report { worker: String },
+    Checkin { worker: String, node: usize, sent_ms: u64, body: Vec<u8> },
+    Answer { worker: String, sent_ms: u64, status: u16, body: Vec<u8> },
+    Work { worker: String },
+    User { node: usize, ask: u64 },
+    Boot { machine: String, zone: String },
+    Restart { node: usize },
+}
+
+struct Entry {
+    at: u64,
+    n: u64,
+    msg: Msg,
+}
+
+impl PartialEq for Entry {
+    fn eq(&self, o: &Self) -> bool {
+        (self.at, self.n) == (o.at, o.n)
+    }
+}
+impl Eq for Entry {}
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, o: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl Ord for Entry {
+    fn cmp(&self, o: &Self) -> std::cmp::Ordering {
+        (o.at, o.n).cmp(&(self.at, self.n))
+    }
+}
+
+#[derive(Default)]
+pub struct StateService {
+    pub keys: BTreeMap<String, (ciborium::value::Value, u64, Option<u64>)>,
+    pub rev: u64,
+    log: Vec<ChangeEvent>,
+    leases: BTreeMap<u64, (u64, u64)>,
+    next_lease: u64,
+    pub down: bool,
+    /// Nodes that it answers 503 while the others are served.
+    pub refuses: BTreeSet<usize>,
+    /// Transactions are executed, but the next so many answers are lost.
+    pub swallow_answers: u32,
+    pub writes: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Held {
+    pub attempt: u64,
+    pub status: TaskStatus,
+    pub cause: Option<Cause>,
+    pub ends_ms: u64,
+}
+
+pub struct Worker {
+    pub zone: String,
+    pub kind: String,
+    pub cpus: f64,
+    pub spot: bool,
+    pub tenure: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub node: usize,
+    pub lease_from: u64,
+    pub tasks: BTreeMap<String, Held>,
+    pub dead: bool,
+    pub hung_until: u64,
+    pub fails: bool,
+    waiting: bool,
+    /// Orders that came while it hung.
+    inbox: Vec<(usize, u32, Call)>,
+}
+
+impl Worker {
+    /// Its tasks are still on it: it lives, and its lease has not run out.
+    fn holds(&self, now: u64) -> bool {
+        !self.dead && now <= self.lease_from + LEASE_MS
+    }
+}
+
+struct Node {
+    core: Controller,
+    life: u32,
+    open: HashMap<CallId, ()>,
+}
+
+pub struct Ask {
+    pub method: &'static str,
+    pub path: String,
+    pub body: Vec<u8>,
+    pub answer: Option<Response>,
+}
+
+pub struct World {
+    pub now: u64,
+    rng: SmallRng,
+    queue: BinaryHeap<Entry>,
+    count: u64,
+    nodes: Vec<Option<Node>>,
+    lives: Vec<u32>,
+    pub state: StateService,
+    pub workers: BTreeMap<String, Worker>,
+    pub cuts: Vec<(End, End, Cut)>,
+    held: Vec<(usize, u32, Call)>,
+    pub asks: Vec<Ask>,
+    requests: HashMap<(usize, u32, u64), Asker>,
+    next_request: u64,
+    pub jobs: BTreeMap<String, JobSpec>,
+    pub run_ms: BTreeMap<String, u64>,
+    pub done: BTreeMap<String, BTreeSet<u32>>,
+    pub aborted_at: BTreeMap<String, u64>,
+    pub told: BTreeMap<String, JobStatus>,
+    pub breaches: Vec<String>,
+    pub starts: BTreeMap<String, Vec<(String, u64)>>,
+    pub loss: f64,
+    pub max_delay: u64,
+    next_machine: u32,
+    pub cloud_off: bool,
+    pub hires: BTreeMap<String, Vec<String>>,
+    limit_cpus: f64,
+    pub seed: u64,
+}
+
+enum Asker {
+    User(u64),
+    Worker(String, u64),
+    Node(usize, u32, CallId),
+}
+
+pub fn platform(node: usize, nodes: usize, limit_cpus: f64) -> Platform {
+    let siblings: Vec<_> = (0..nodes)
+        .filter(|n| *n != node)
+        .map(|n| serde_json::json!({"node": format!("n{n}"), "domain": "a", "addr": format!("10.0.0.{}:81", n + 1)}))
+        .collect();
+    serde_json::from_value(serde_json::json!({
+        "node": format!("n{node}"), "domain": "a",
+        "client_listen": format!("10.0.0.{}:80", node + 1),
+        "mesh_addr": format!("10.0.0.{}:81", node + 1),
+        "siblings": siblings,
+        "outside": {"cloud": "10.1.0.1:1", "state": "10.1.0.2:1"},
+        "facts": {
+            "count": nodes, "zones": ["a", "b"],
+            "teams": [{"name": "t", "cpus": 0.0, "cpus_max": limit_cpus, "gpus": 0.0, "gpus_max": 0.0}],
+            "objectives": [],
+            "workers": {"report_s": REPORT_MS as f64 / 1e3, "lease_s": LEASE_MS as f64 / 1e3,
+                        "gang_wait_s": 20.0, "gang_peer_s": 3.0, "cancel_s": CANCEL_MS as f64 / 1e3},
+            "state": {"rps": 200.0, "write_rps": 40.0, "value_kb": 8.0, "txn_ops": 12},
+            "cloud": {"rps": 8.0, "list_lag_s": 2.0},
+            "resources": {"cpu_share": 0.1, "mem_mb": 64.0, "max_sockets": 500},
+            "clock_off_ms": 100.0
+        }
+    }))
+    .unwrap()
+}
+
+pub fn job(id: &str, shape: Shape, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: id.into(),
+        class: "c".into(),
+        team: "t".into(),
+        shape,
+        rank: if shape == Shape::Service { Rank::Production } else { Rank::Normal },
+        tasks,
+        cpus: 4.0,
+        gpus: 0.0,
+        memory_gb: 4.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        together: false,
+        spread: false,
+        spot: true,
+        estimate_s: 5.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+impl World {
+    /// `nodes` controllers and `workers` machines of 8 CPUs, alternating zones.
+    pub fn new(nodes: usize, workers: usize, limit_cpus: f64, seed: u64) -> World {
+        let mut w = World {
+            now: 1,
+            rng: SmallRng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            count: 0,
+            nodes: Vec::new(),
+            lives: vec![0; nodes],
+            state: StateService::default(),
+            workers: BTreeMap::new(),
+            cuts: Vec::new(),
+            held: Vec::new(),
+            asks: Vec::new(),
+            requests: HashMap::new(),
+            next_request: 1,
+            jobs: BTreeMap::new(),
+            run_ms: BTreeMap::new(),
+            done: BTreeMap::new(),
+            aborted_at: BTreeMap::new(),
+            told: BTreeMap::new(),
+            breaches: Vec::new(),
+            starts: BTreeMap::new(),
+            loss: 0.0,
+            max_delay: 4,
+            next_machine: 0,
+            cloud_off: true,
+            hires: BTreeMap::new(),
+            limit_cpus,
+            seed,
+        };
+        for n in 0..nodes {
+            w.nodes.push(None);
+            w.start(n);
+        }
+        for _ in 0..workers {
+            w.add_worker();
+        }
+        w
+    }
+
+    pub fn add_worker(&mut self) -> String {
+        let n = self.next_machine;
+        self.next_machine += 1;
+        let name = format!("vm-{n:06}");
+        let zone = if n % 2 == 0 { "a" } else { "b" };
+        self.boot(&name, zone, false);
+        name
+    }
+
+    fn boot(&mut self, name: &str, zone: &str, spot: bool) {
+        let worker = Worker {
+            zone: zone.into(),
+            kind: "k8".into(),
+            cpus: 8.0,
+            spot,
+            tenure: 1,
+            seq: 0,
+            token: 0,
+            node: 0,
+            lease_from: self.now,
+            tasks: BTreeMap::new(),
+            dead: false,
+            hung_until: 0,
+            fails: false,
+            waiting: false,
+            inbox: Vec::new(),
+        };
+        self.workers.insert(name.into(), worker);
+        self.after(10, Msg::Report { worker: name.into() });
+        self.after(50, Msg::Work { worker: name.into() });
+    }
+
+    fn after(&mut self, ms: u64, msg: Msg) {
+        self.count += 1;
+        self.queue.push(Entry { at: self.now + ms, n: self.count, msg });
+    }
+
+    fn delay(&mut self) -> u64 {
+        self.rng.random_range(1..=self.max_delay)
+    }
+
+    // Faults.
+
+    pub fn start(&mut self, n: usize) {
+        let config = Config {
+            platform: platform(n, self.lives.len(), self.limit_cpus),
+            operator: Operator::default(),
+        };
+        self.lives[n] += 1;
+        let life = self.lives[n];
+        let rng = SmallRng::seed_from_u64(self.seed * 100 + n as u64 * 10 + u64::from(life));
+        let core = Controller::new(config, rng);
+        self.nodes[n] = Some(Node { core, life, open: HashMap::new() });
+        self.after(1, Msg::Tick { node: n, life });
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        self.nodes[n] = None;
+    }
+
+    pub fn kill_for(&mut self, n: usize, ms: u64) {
+        self.kill(n);
+        self.after(ms, Msg::Restart { node: n });
+    }
+
+    pub fn cut(&mut self, a: End, b: End, how: Cut) {
+        self.cuts.push((a, b, how));
+    }
+
+    /// Ends all cuts; what was held arrives now.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        for (from, life, call) in std::mem::take(&mut self.held) {
+            let d = self.delay();
+            self.after(d, Msg::Call { from, life, call });
+        }
+    }
+
+    fn cut_between(&self, a: &End, b: &End) -> Option<Cut> {
+        self.cuts
+            .iter()
+            .find(|(x, y, _)| (x, y) == (a, b) || (y, x) == (a, b))
+            .map(|(_, _, how)| *how)
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let (value, _, _) = self.state.keys.get("view/leader")?;
+        let leader: quartzgate_core::records::Leader = value.deserialized().ok()?;
+        leader.node.trim_start_matches('n').parse().ok()
+    }
+
+    // Users.
+
+    pub fn ask(&mut self, node: usize, method: &'static str, path: &str, body: Vec<u8>) -> usize {
+        let ask = self.asks.len();
+        self.asks.push(Ask { method, path: path.into(), body, answer: None });
+        self.after(1, Msg::User { node, ask: ask as u64 });
+        ask
+    }
+
+    pub fn submit(&mut self, node: usize, spec: &JobSpec) -> usize {
+        self.jobs.insert(spec.id.clone(), spec.clone());
+        self.ask(node, "POST", "/api/jobs", to_cbor(spec))
+    }
+
+    pub fn abort(&mut self, node: usize, id: &str) -> usize {
+        self.ask(node, "POST", &format!("/api/jobs/{id}/abort"), Vec::new())
+    }
+
+    pub fn poll(&mut self, node: usize, id: &str) -> usize {
+        self.ask(node, "GET", &format!("/api/jobs/{id}"), Vec::new())
+    }
+
+    pub fn status(&self, ask: usize) -> u16 {
+        self.asks[ask].answer.as_ref().map_or(0, |r| r.status)
+    }
+
+    /// Submits until it is accepted, as a user would, on whatever node answers.
+    pub fn submit_surely(&mut self, spec: &JobSpec) {
+        self.insist(60_000, |w, n| w.submit(n, spec), |s| s == 200 || s == 201);
+    }
+
+    pub fn abort_surely(&mut self, id: &str) {
+        self.insist(60_000, |w, n| w.abort(n, id), |s| s == 200);
+    }
+
+    /// Asks node after node until the answer is as wanted.
+    pub fn insist(
+        &mut self,
+        within_ms: u64,
+        mut ask: impl FnMut(&mut World, usize) -> usize,
+        good: impl Fn(u16) -> bool,
+    ) {
+        let end = self.now + within_ms;
+        let mut node = 0;
+        while self.now < end {
+            let a = ask(self, node);
+            self.run(1_200);
+            if good(self.status(a)) {
+                return;
+            }
+            node = (node + 1) % self.nodes.len();
+        }
+        panic!("no answer as wanted within {within_ms} ms; breaches: {:?}", self.breaches);
+    }
+
+    /// Polls until the job is done.
+    pub fn until_done(&mut self, id: &str, within_ms: u64) {
+        let end = self.now + within_ms;
+        let mut node = 0;
+        while self.now < end {
+            self.poll(node, id);
+            self.run(500);
+            if self.told.get(id) == Some(&JobStatus::Done) {
+                return;
+            }
+            node = (node + 1) % self.nodes.len();
+        }
+        panic!(
+            "{id} not done within {within_ms} ms; {:?}; breaches {:?}",
+            self.done.get(id),
+            self.breaches
+        );
+    }
+
+    pub fn until(&mut self, within_ms: u64, what: &str, mut good: impl FnMut(&World) -> bool) {
+        let end = self.now + within_ms;
+        while self.now < end {
+            if good(self) {
+                return;
+            }
+            self.run(20);
+        }
+        panic!("{what}: not within {within_ms} ms; breaches: {:?}", self.breaches);
+    }
+
+    /// Tasks of a job that are on machines now.
+    pub fn on(&self, id: &str) -> Vec<(String, String)> {
+        let prefix = format!("{id}/");
+        let mut out = Vec::new();
+        for (name, w) in self.workers.iter().filter(|(_, w)| !w.dead) {
+            for (t, h) in &w.tasks {
+                if t.starts_with(&prefix) && h.status != TaskStatus::Exited {
+                    out.push((t.clone(), name.clone()));
+                }
+            }
+        }
+        out
+    }
+
+    pub fn keep_rules(&self) {
+        assert!(self.breaches.is_empty(), "seed {}: {:#?}", self.seed, self.breaches);
+    }
+
+    // The clock.
+
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while let Some(e) = self.queue.peek() {
+            if e.at > end {
+                break;
+            }
+            let e = self.queue.pop().unwrap();
+            self.now = e.at.max(self.now);
+            self.step(e.msg);
+        }
+        self.now = end;
+    }
+
+    fn step(&mut self, msg: Msg) {
+        match msg {
+            Msg::Tick { node, life } => {
+                if self.alive(node, life) {
+                    self.feed(node, Event::Tick);
+                    self.after(25, Msg::Tick { node, life });
+                }
+            }
+            Msg::Restart { node } => {
+                if self.nodes[node].is_none() {
+                    self.start(node);
+                }
+            }
+            Msg::Call { from, life, call } => self.arrive(from, life, call),
+            Msg::Outcome { node, life, call, outcome } => {
+                if self.alive(node, life) {
+                    let open = self.nodes[node].as_mut().unwrap().open.remove(&call).is_some();
+                    if open {
+                        self.feed(node, Event::Outcome { call, outcome });
+                    }
+                }
+            }
+            Msg::WatchEnd { node, life, call, starts, since, until } => {
+                self.watch(node, life, call, starts, since, until)
+            }
+            Msg::Report { worker } => self.report(&worker),
+            Msg::Checkin { worker, node, sent_ms, body } => {
+                let end = End::Worker(worker.clone());
+                if self.nodes[node].is_none() || self.cut_between(&end, &End::Node(node)).is_some()
+                {
+                    return;
+                }
+                let id = self.request(node, Asker::Worker(worker, sent_ms));
+                let request = Request {
+                    method: "POST".into(),
+                    target: "/checkin".into(),
+                    body,
+                    close: false,
+                };
+                self.feed(node, Event::Client { id, request });
+            }
+            Msg::Answer { worker, sent_ms, status, body } => {
+                self.worker_answer(&worker, sent_ms, status, &body)
+            }
+            Msg::Work { worker } => self.work(&worker),
+            Msg::User { node, ask } => {
+                if self.nodes[node].is_none() {
+                    return;
+                }
+                let a = &self.asks[ask as usize];
+                let request = Request {
+                    method: a.method.into(),
+                    target: a.path.clone(),
+                    body: a.body.clone(),
+                    close: false,
+                };
+                let id = self.request(node, Asker::User(ask));
+                self.feed(node, Event::Client { id, request });
+            }
+            Msg::Boot { machine, zone } => self.boot(&machine, &zone, false),
+        }
+    }
+
+    fn alive(&self, node: usize, life: u32) -> bool {
+        self.nodes[node].as_ref().is_some_and(|n| n.life == life)
+    }
+
+    fn request(&mut self, node: usize, asker: Asker) -> u64 {
+        let id = self.next_request;
+        self.next_request += 1;
+        let life = self.nodes[node].as_ref().unwrap().life;
+        self.requests.insert((node, life, id), asker);
+        id
+    }
+
+    fn feed(&mut self, node: usize, event: Event) {
+        let now = Now { steady_ms: self.now, wall_ms: 1_000_000 + self.now };
+        let Some(n) = self.nodes[node].as_mut() else { return };
+        let life = n.life;
+        let actions = n.core.handle(now, event);
+        for action in actions {
+            match action {
+                Action::Answer { id, response } => self.answered(node, life, id, response),
+                Action::Call(call) => self.send(node, life, call),
+            }
+        }
+    }
+
+    fn target(&self, from: usize, call: &Call) -> Option<End> {
+        Some(match &call.peer {
+            Peer::State => End::State,
+            Peer::Cloud => End::Cloud,
+            Peer::Sibling(at) => End::Node(if *at >= from { at + 1 } else { *at }),
+            Peer::Worker(addr) => {
+                let ip = addr.ip().to_string();
+                let parts: Vec<u32> = ip.split('.').map(|p| p.parse().unwrap()).collect();
+                End::Worker(format!("vm-{:06}", parts[2] * 250 + parts[3] - 1))
+            }
+        })
+    }
+
+    fn send(&mut self, from: usize, life: u32, call: Call) {
+        let id = call.id;
+        self.nodes[from].as_mut().unwrap().open.insert(id, ());
+        let lost = Msg::Outcome { node: from, life, call: id, outcome: Outcome::Lost };
+        self.after(call.timeout_ms, lost);
+        let Some(to) = self.target(from, &call) else { return };
+        match self.cut_between(&End::Node(from), &to) {
+            Some(Cut::Drop) => return,
+            Some(Cut::Hold) => {
+                self.held.push((from, life, call));
+                return;
+            }
+            None => {}
+        }
+        if self.rng.random_bool(self.loss) {
+            return;
+        }
+        let d = self.delay();
+        self.after(d, Msg::Call { from, life, call });
+    }
+
+    fn back(&mut self, node: usize, life: u32, call: CallId, response: Response, from: &End) {
+        if self.cut_between(&End::Node(node), from).is_some() || self.rng.random_bool(self.loss) {
+            return;
+        }
+        let d = self.delay();
+        let outcome = Outcome::Answer(response);
+        self.after(d, Msg::Outcome { node, life, call, outcome });
+    }
+
+    fn arrive(&mut self, from: usize, life: u32, call: Call) {
+        let Some(to) = self.target(from, &call) else { return };
+        match &to {
+            End::State => self.state_call(from, life, call),
+            End::Cloud => {
+                let r = self.cloud_call(&call);
+                self.back(from, life, call.id, r, &to);
+            }
+            End::Node(n) => {
+                if self.nodes[*n].is_none() {
+                    return;
+                }
+                let id = self.request(*n, Asker::Node(from, life, call.id));
+                let request = Request {
+                    method: call.method.into(),
+                    target: call.target,
+                    body: call.body,
+                    close: false,
+                };
+                self.feed(*n, Event::Mesh { id, request });
+            }
+            End::Worker(name) => {
+                let name = name.clone();
+                self.worker_call(&name, from, life, call)
+            }
+        }
+    }
+
+    fn answered(&mut self, node: usize, life: u32, id: u64, response: Response) {
+        match self.requests.remove(&(node, life, id)) {
+            Some(Asker::User(ask)) => self.user_answer(ask as usize, response),
+            Some(Asker::Worker(worker, sent_ms)) => {
+                let end = End::Worker(worker.clone());
+                if self.cut_between(&end, &End::Node(node)).is_some() {
+                    return;
+                }
+                let d = self.delay();
+                let Response { status, body, .. } = response;
+                self.after(d, Msg::Answer { worker, sent_ms, status, body });
+            }
+            Some(Asker::Node(asker, asker_life, call)) => {
+                if self.cut_between(&End::Node(asker), &End::Node(node)).is_none() {
+                    let d = self.delay();
+                    let outcome = Outcome::Answer(response);
+                    self.after(d, Msg::Outcome { node: asker, life: asker_life, call, outcome });
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn user_answer(&mut self, ask: usize, response: Response) {
+        let id = match self.asks[ask].path.as_str() {
+            "/api/jobs" => {
+                from_cbor::<JobSpec>(&self.asks[ask].body).map(|s| s.id).unwrap_or_default()
+            }
+            path => path.split('/').nth(3).unwrap_or("").to_string(),
+        };
+        if response.status == 503 && response.retry_after_s.is_none() {
+            self.breaches.push("a 503 without Retry-After".into());
+        }
+        let known = self.told.get(&id).copied();
+        match response.status {
+            200 | 201 => {
+                if let Ok(a) = from_cbor::<JobAnswer>(&response.body) {
+                    if !self.jobs.contains_key(&id) {
+                        self.breaches.push(format!("invented {id}"));
+                    }
+                    let ended = |s: Option<JobStatus>| {
+                        matches!(s, Some(JobStatus::Done | JobStatus::Aborted))
+                    };
+                    if ended(known) && known != Some(a.status) {
+                        self.breaches
+                            .push(format!("went_back {id}: {known:?} then {:?}", a.status));
+                    }
+                    if a.status == JobStatus::Done {
+                        let all = self.jobs.get(&id).map_or(0, |j| j.tasks as usize);
+                        if self.done.get(&id).map_or(0, |d| d.len()) < all {
+                            self.breaches.push(format!("not_done {id}"));
+                        }
+                    }
+                    if a.status == JobStatus::Aborted {
+                        let now = self.now;
+                        self.aborted_at.entry(id.clone()).or_insert(now);
+                    }
+                    if !ended(known) {
+                        self.told.insert(id, a.status);
+                    }
+                }
+            }
+            404 | 400 | 422 if known.is_some() => {
+                self.breaches.push(format!("forgotten {id}: {}", response.status))
+            }
+            _ => {}
+        }
+        self.asks[ask].answer = Some(response);
+    }
+
+    // The state service.
+
+    fn state_call(&mut self, from: usize, life: u32, call: Call) {
+        self.expire_leases();
+        let watch = call.target.starts_with("/changes");
+        if self.state.down || self.state.refuses.contains(&from) {
+            if watch {
+                return;
+            }
+            return self.back(from, life, call.id, Response::new(503, Vec::new()), &End::State);
+        }
+        let ok = |body: Vec<u8>| Response::new(200, body);
+        let target = call.target.clone();
+        let (path, query) = target.split_once('?').unwrap_or((&target, ""));
+        let arg = |name: &str| {
+            query.split('&').find_map(|p| p.strip_prefix(&format!("{name}=")[..]).map(String::from))
+        };
+        let now = self.now;
+        let response = if path == "/keys" {
+            let starts = arg("starts").unwrap();
+            let since = arg("since").unwrap_or_default();
+            let pairs: Vec<Pair> = self
+                .state
+                .keys
+                .iter()
+                .filter(|(k, _)| k.starts_with(&starts) && **k > since)
+                .map(|(k, (v, s, _))| Pair {
+                    path: k.clone(),
+                    value: v.clone(),
+                    stamp: *s,
+                    permit: None,
+                })
+                .collect();
+            ok(to_cbor(&PairList { pairs, more: false, ledger_rev: self.state.rev }))
+        } else if let Some(key) = path.strip_prefix("/keys/") {
+            match self.state.keys.get(key) {
+                Some((v, s, p)) => {
+                    ok(to_cbor(&Pair { path: key.into(), value: v.clone(), stamp: *s, permit: *p }))
+                }
+                None => Response::new(404, Vec::new()),
+            }
+        } else if path == "/multi" {
+            let txn: Transaction = from_cbor(&call.body).unwrap();
+            let answer = self.transact(txn);
+            if self.state.swallow_answers > 0 {
+                self.state.swallow_answers -= 1;
+                return;
+            }
+            answer
+        } else if path == "/leases" {
+            let ttl = from_cbor::<LeaseRequest>(&call.body).unwrap().ttl_ms;
+            self.state.next_lease += 1;
+            let permit = self.state.next_lease;
+            self.state.leases.insert(permit, (now + ttl, ttl));
+            ok(to_cbor(&LeaseAnswer { permit }))
+        } else if let Some(rest) = path.strip_prefix("/leases/") {
+            let permit: u64 = rest.trim_end_matches("/renew").parse().unwrap();
+            match self.state.leases.get_mut(&permit) {
+                Some((until, ttl)) => {
+                    *until = now + *ttl;
+                    ok(Vec::new())
+                }
+                None => Response::new(404, Vec::new()),
+            }
+        } else {
+            let since: u64 = arg("since").unwrap().parse().unwrap();
+            let block: u64 = arg("block_ms").unwrap().parse().unwrap();
+            return self.watch(from, life, call.id, arg("starts").unwrap(), since, now + block);
+        };
+        self.back(from, life, call.id, response, &End::State);
+    }
+
+    /// Answers a watch if there is something to tell or its time is up, else comes back.
+    fn watch(
+        &mut self,
+        node: usize,
+        life: u32,
+        call: CallId,
+        starts: String,
+        since: u64,
+        until: u64,
+    ) {
+        self.expire_leases();
+        let log: Vec<ChangeEvent> = self
+            .state
+            .log
+            .iter()
+            .skip(self.state.log.partition_point(|e| e.stamp <= since))
+            .filter(|e| {
+                let key = e.set.as_ref().or(e.delete.as_ref()).unwrap();
+                key.starts_with(&starts)
+            })
+            .cloned()
+            .collect();
+        // Open watches wait through an outage.
+        let deaf = self.state.down || self.state.refuses.contains(&node);
+        if deaf || log.is_empty() && self.now < until {
+            return self.after(10, Msg::WatchEnd { node, life, call, starts, since, until });
+        }
+        let body = to_cbor(&ChangeLog { ledger_rev: self.state.rev, log });
+        self.back(node, life, call, Response::new(200, body), &End::State);
+    }
+
+    fn transact(&mut self, txn: Transaction) -> Response {
+        let failed: Vec<String> = txn
+            .guards
+            .iter()
+            .filter(|g| self.state.keys.get(&g.path).map_or(0, |k| k.1) != g.stamp)
+            .map(|g| g.path.clone())
+            .collect();
+        if !failed.is_empty() {
+            let body = to_cbor(&TransactionAnswer { ledger_rev: self.state.rev, failed });
+            return Response::new(409, body);
+        }
+        let lost = txn.apply.iter().any(|c| {
+            matches!(c, Change::Set { permit: Some(p), .. } if !self.state.leases.contains_key(p))
+        });
+        if lost {
+            return Response::new(400, Vec::new());
+        }
+        if !txn.apply.is_empty() {
+            self.state.rev += 1;
+        }
+        let stamp = self.state.rev;
+        for change in txn.apply {
+            self.state.writes += 1;
+            let event = match change {
+                Change::Set { set, value, permit } => {
+                    self.state.keys.insert(set.clone(), (value.clone(), stamp, permit));
+                    ChangeEvent { set: Some(set), delete: None, value: Some(value), stamp }
+                }
+                Change::Delete { delete } => {
+                    self.state.keys.remove(&delete);
+                    ChangeEvent { set: None, delete: Some(delete), value: None, stamp }
+                }
+            };
+            self.state.log.push(event);
+        }
+        let body = to_cbor(&TransactionAnswer { ledger_rev: stamp, failed: Vec::new() });
+        Response::new(200, body)
+    }
+
+    fn expire_leases(&mut self) {
+        let now = self.now;
+        if self.state.down {
+            for (until, ttl) in self.state.leases.values_mut() {
+                *until = (*until).max(now + *ttl);
+            }
+            return;
+        }
+        let over: Vec<u64> =
+            self.state.leases.iter().filter(|(_, (u, _))| *u < now).map(|(p, _)| *p).collect();
+        for permit in over {
+            self.state.leases.remove(&permit);
+            let keys: Vec<String> = self
+                .state
+                .keys
+                .iter()
+                .filter(|(_, (_, _, p))| *p == Some(permit))
+                .map(|(k, _)| k.clone())
+                .collect();
+            for key in keys {
+                self.transact(Transaction {
+                    guards: Vec::new(),
+                    apply: vec![Change::Delete { delete: key }],
+                });
+            }
+        }
+    }
+
+    // The cloud.
+
+    fn cloud_call(&mut self, call: &Call) -> Response {
+        let path = call.target.split('?').next().unwrap();
+        match (call.method, path) {
+            ("GET", "/machine_types") => {
+                let t = MachineType {
+                    name: "k8".into(),
+                    cpus: 8.0,
+                    gpus: 0.0,
+                    memory_gb: 32.0,
+                    cache_gb: 50.0,
+                    fetch_gb_per_s: 1.0,
+                    price: 0.4,
+                    spot_price: 0.1,
+                    boot_s: 3.0,
+                    zones: vec!["a".into(), "b".into()],
+                };
+                Response::new(200, to_cbor(&MachineTypes { types: vec![t] }))
+            }
+            ("GET", _) => {
+                let machines = self
+                    .workers
+                    .iter()
+                    .map(|(name, w)| ListedMachine {
+                        name: name.clone(),
+                        addr: addr_of(name),
+                        kind: w.kind.clone(),
+                        zone: w.zone.clone(),
+                        spot: w.spot,
+                        status: CloudStatus::Running,
+                        age_s: 50.0,
+                    })
+                    .collect();
+                Response::new(200, to_cbor(&MachineList { machines, more: false }))
+            }
+            ("POST", "/machines/return") => {
+                let names: MachineNames = from_cbor(&call.body).unwrap();
+                for n in names.machines {
+                    self.workers.remove(&n);
+                }
+                Response::new(200, Vec::new())
+            }
+            _ => {
+                let hire: HireRequest = from_cbor(&call.body).unwrap();
+                if self.cloud_off {
+                    return Response::new(503, Vec::new());
+                }
+                if let Some(known) = self.hires.get(&hire.hire) {
+                    return Response::new(200, to_cbor(&MachineNames { machines: known.clone() }));
+                }
+                let mut machines = Vec::new();
+                for _ in 0..hire.count.min(4) {
+                    let name = format!("vm-{:06}", self.next_machine);
+                    self.next_machine += 1;
+                    let zone = hire.zone.clone();
+                    self.after(3_000, Msg::Boot { machine: name.clone(), zone });
+                    machines.push(name);
+                }
+                self.hires.insert(hire.hire, machines.clone());
+                Response::new(200, to_cbor(&MachineNames { machines }))
+            }
+        }
+    }
+
+    // Workers.
+
+    fn report_of(&mut self, name: &str) -> Option<Report> {
+        let w = self.workers.get_mut(name)?;
+        w.seq += 1;
+        Some(Report {
+            machine: name.into(),
+            addr: addr_of(name),
+            kind: w.kind.clone(),
+            zone: w.zone.clone(),
+            spot: w.spot,
+            tenure: w.tenure,
+            seq: w.seq,
+            token: w.token,
+            notice_s: None,
+            tasks: w
+                .tasks
+                .iter()
+                .map(|(t, h)| ReportTask {
+                    task: t.clone(),
+                    attempt: h.attempt,
+                    status: h.status,
+                    cause: h.cause,
+                    saved: None,
+                })
+                .collect(),
+        })
+    }
+
+    fn report(&mut self, name: &str) {
+        let jitter = self.rng.random_range(0..REPORT_MS / 2);
+        let now = self.now;
+        let Some(w) = self.workers.get(name) else { return };
+        if w.dead {
+            return;
+        }
+        self.after(REPORT_MS * 3 / 4 + jitter, Msg::Report { worker: name.into() });
+        let w = self.workers.get_mut(name).unwrap();
+        if now < w.hung_until || w.waiting {
+            return;
+        }
+        w.waiting = true;
+        let node = w.node;
+        let body = to_cbor(&self.report_of(name).unwrap());
+        let worker = name.to_string();
+        // No answer within four seconds: the next node.
+        self.after(
+            4_000,
+            Msg::Answer { worker: worker.clone(), sent_ms: now, status: 0, body: Vec::new() },
+        );
+        let end = End::Worker(worker.clone());
+        if self.nodes[node].is_none() {
+            return self
+                .after(1, Msg::Answer { worker, sent_ms: now, status: 1, body: Vec::new() });
+        }
+        if self.cut_between(&end, &End::Node(node)).is_none() && !self.rng.random_bool(self.loss) {
+            let d = self.delay();
+            self.after(d, Msg::Checkin { worker, node, sent_ms: now, body });
+        }
+    }
+
+    fn worker_answer(&mut self, name: &str, sent_ms: u64, status: u16, body: &[u8]) {
+        let nodes = self.nodes.len();
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(name) else { return };
+        if w.dead || !w.waiting || now > sent_ms + 4_000 || now < w.hung_until {
+            if now >= sent_ms + 4_000 && status == 0 {
+                w.waiting = false;
+            }
+            return;
+        }
+        if status == 0 && now < sent_ms + 4_000 {
+            return;
+        }
+        w.waiting = false;
+        match status {
+            200 => {
+                let Ok(a) = from_cbor::<ReportAnswer>(body) else { return };
+                if a.token < w.token {
+                    return;
+                }
+                w.token = a.token;
+                w.lease_from = w.lease_from.max(sent_ms);
+                self.execute(name, a.orders);
+            }
+            421 => {
+                let owner = from_cbor::<Redirect>(body).ok().and_then(|r| r.owner);
+                let to = owner.and_then(|o| o.trim_start_matches('n').parse::<usize>().ok());
+                match to {
+                    Some(n) if n != w.node => {
+                        w.node = n;
+                        self.after(100, Msg::Report { worker: name.into() });
+                    }
+                    _ => w.node = (w.node + 1) % nodes,
+                }
+            }
+            _ => w.node = (w.node + 1) % nodes,
+        }
+    }
+
+    fn worker_call(&mut self, name: &str, from: usize, life: u32, call: Call) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(name) else { return };
+        if w.dead {
+            return;
+        }
+        if now < w.hung_until {
+            w.inbox.push((from, life, call));
+            return;
+        }
+        self.expire_session(name);
+        let end = End::Worker(name.to_string());
+        let mut status = 200;
+        if call.target == "/orders" {
+            let o: OrdersRequest = from_cbor(&call.body).unwrap();
+            let w = self.workers.get_mut(name).unwrap();
+            if o.token < w.token || o.tenure != w.tenure {
+                status = 409;
+            } else {
+                w.token = o.token;
+                self.execute(name, o.orders);
+            }
+        }
+        let body = to_cbor(&self.report_of(name).unwrap());
+        self.back(from, life, call.id, Response::new(status, body), &end);
+    }
+
+    fn execute(&mut self, name: &str, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => self.start_task(name, task, attempt),
+                Order::Stop { task, attempt, .. } => {
+                    let w = self.workers.get_mut(name).unwrap();
+                    if let Some(h) = w.tasks.get_mut(&task) {
+                        if h.attempt == attempt && h.status != TaskStatus::Exited {
+                            h.status = TaskStatus::Exited;
+                            h.cause = Some(Cause::Stopped);
+                        }
+                    }
+                }
+                Order::Forget { task, attempt } => {
+                    let w = self.workers.get_mut(name).unwrap();
+                    if w.tasks
+                        .get(&task)
+                        .is_some_and(|h| h.attempt == attempt && h.status == TaskStatus::Exited)
+                    {
+                        w.tasks.remove(&task);
+                    }
+                }
+            }
+        }
+    }
+
+    fn start_task(&mut self, name: &str, task: String, attempt: u64) {
+        let now = self.now;
+        let (job_id, n) = task.rsplit_once('/').unwrap();
+        let n: u32 = n.parse().unwrap();
+        let Some(spec) = self.jobs.get(job_id).cloned() else { return };
+        if let Some(h) = self.workers[name].tasks.get(&task) {
+            if h.attempt == attempt || h.status != TaskStatus::Exited {
+                return;
+            }
+        }
+        // The rules.
+        for (other, w) in &self.workers {
+            let here = w.tasks.get(&task).is_some_and(|h| h.status != TaskStatus::Exited);
+            if other != name && here && w.holds(now) {
+                self.breaches.push(format!("ran_twice {task}: {name} while on {other} at {now}"));
+            }
+        }
+        if self.aborted_at.get(job_id).is_some_and(|a| now > a + CANCEL_MS) {
+            self.breaches.push(format!("ran_cancelled {task} at {now}"));
+        }
+        let used: f64 = self
+            .workers
+            .values()
+            .filter(|w| w.holds(now))
+            .flat_map(|w| &w.tasks)
+            .filter(|(_, h)| h.status != TaskStatus::Exited)
+            .filter_map(|(t, _)| self.jobs.get(t.rsplit_once('/').unwrap().0))
+            .map(|s| s.cpus)
+            .sum();
+        if self.limit_cpus > 0.0 && used + spec.cpus > self.limit_cpus + 1e-6 {
+            self.breaches.push(format!("quota: {} CPUs at {now}", used + spec.cpus));
+        }
+        if spec.spread {
+            let zone = self.workers[name].zone.clone();
+            let there = self
+                .workers
+                .values()
+                .filter(|w| w.zone == zone && w.holds(now))
+                .flat_map(|w| &w.tasks)
+                .filter(|(t, h)| {
+                    t.rsplit_once('/').unwrap().0 == job_id && h.status != TaskStatus::Exited
+                })
+                .count() as u32;
+            if there + 1 > spec.tasks.div_ceil(2) {
+                self.breaches.push(format!("wrong_place {task}: {} in {zone}", there + 1));
+            }
+        }
+        let finished = self.done.get(job_id).is_some_and(|d| d.contains(&n));
+        let run = match (finished, spec.shape) {
+            (true, _) => 0,
+            (_, Shape::Service) => u64::MAX / 2,
+            _ => self.run_ms.get(job_id).copied().unwrap_or(2_000),
+        };
+        let w = self.workers.get_mut(name).unwrap();
+        let used: f64 = w
+            .tasks
+            .iter()
+            .filter(|(_, h)| h.status != TaskStatus::Exited)
+            .filter_map(|(t, _)| self.jobs.get(t.rsplit_once('/').unwrap().0))
+            .map(|s| s.cpus)
+            .sum();
+        let (status, cause) = if used + spec.cpus > w.cpus + 1e-6 {
+            (TaskStatus::Exited, Some(Cause::NoRoom))
+        } else if w.fails {
+            (TaskStatus::Exited, Some(Cause::Error))
+        } else if spec.shape == Shape::Gang {
+            (TaskStatus::Waiting, None)
+        } else {
+            (TaskStatus::Running, None)
+        };
+        w.tasks.insert(task.clone(), Held { attempt, status, cause, ends_ms: now + run });
+        if status != TaskStatus::Exited {
+            self.starts.entry(task).or_default().push((name.into(), now));
+        }
+    }
+
+    fn expire_session(&mut self, name: &str) {
+        let now = self.now;
+        let w = self.workers.get_mut(name).unwrap();
+        if now > w.lease_from + LEASE_MS {
+            w.tasks.clear();
+            w.tenure += 1;
+            w.lease_from = now;
+        }
+    }
+
+    /// A worker's own life: leases, running tasks, gangs, changes to report.
+    fn work(&mut self, name: &str) {
+        let now = self.now;
+        let Some(w) = self.workers.get(name) else { return };
+        if w.dead {
+            return;
+        }
+        self.after(50, Msg::Work { worker: name.into() });
+        if now < self.workers[name].hung_until {
+            return;
+        }
+        self.expire_session(name);
+        let inbox = std::mem::take(&mut self.workers.get_mut(name).unwrap().inbox);
+        for (from, life, call) in inbox {
+            self.worker_call(name, from, life, call);
+        }
+        let mut changed = false;
+        let tasks: Vec<String> = self.workers[name].tasks.keys().cloned().collect();
+        for t in tasks {
+            let (job_id, n) = t.rsplit_once('/').unwrap();
+            let held = self.workers[name].tasks[&t].clone();
+            let spec = self.jobs[job_id].clone();
+            if self.aborted_at.get(job_id).is_some_and(|a| now > a + CANCEL_MS)
+                && held.status != TaskStatus::Exited
+            {
+                self.breaches.push(format!("ran_cancelled {t} still on {name} at {now}"));
+            }
+            let mut next = held.clone();
+            if spec.shape == Shape::Gang && held.status != TaskStatus::Exited {
+                let peers = self
+                    .workers
+                    .values()
+                    .filter(|w| !w.dead)
+                    .flat_map(|w| &w.tasks)
+                    .filter(|(p, h)| {
+                        p.rsplit_once('/').unwrap().0 == job_id
+                            && h.attempt == held.attempt
+                            && (h.status != TaskStatus::Exited || h.cause == Some(Cause::Done))
+                    })
+                    .count() as u32;
+                let whole = peers == spec.tasks;
+                if held.status == TaskStatus::Waiting && whole {
+                    next.status = TaskStatus::Running;
+                    next.ends_ms = now + self.run_ms.get(job_id).copied().unwrap_or(2_000);
+                } else if held.status == TaskStatus::Running && !whole {
+                    next.status = TaskStatus::Exited;
+                    next.cause = Some(Cause::Peers);
+                }
+            }
+            if next.status == TaskStatus::Running && now >= next.ends_ms {
+                next.status = TaskStatus::Exited;
+                next.cause = Some(Cause::Done);
+                let n: u32 = n.parse().unwrap();
+                self.done.entry(job_id.to_string()).or_default().insert(n);
+                if spec.shape == Shape::Gang {
+                    let all: BTreeSet<u32> = (0..spec.tasks).collect();
+                    self.done.insert(job_id.to_string(), all);
+                }
+            }
+            if next.status != held.status {
+                changed = true;
+                self.workers.get_mut(name).unwrap().tasks.insert(t, next);
+            }
+        }
+        if changed && !self.workers[name].waiting {
+            self.after(10, Msg::Report { worker: name.into() });
+        }
+    }
+}
+
+fn addr_of(name: &str) -> String {
+    let n: u32 = name.trim_start_matches("vm-").parse().unwrap();
+    format!("10.2.{}.{}:9000", n / 250, n % 250 + 1)
+}
