--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -266,7 +266,7 @@
         let n = self.next_machine;
         self.next_machine += 1;
         let name = format!("vm-{n:06}");
-        let zone = if n % 2 == 0 { "a" } else { "b" };
+        let zone = ["a", "b"][n as usize % 2];
         self.boot(&name, zone, false);
         name
     }
@@ -643,11 +643,12 @@
                 self.after(d, Msg::Answer { worker, sent_ms, status, body });
             }
             Some(Asker::Node(asker, asker_life, call)) => {
-                if self.cut_between(&End::Node(asker), &End::Node(node)).is_none() {
-                    let d = self.delay();
-                    let outcome = Outcome::Answer(response);
-                    self.after(d, Msg::Outcome { node: asker, life: asker_life, call, outcome });
+                if self.cut_between(&End::Node(asker), &End::Node(node)).is_some() {
+                    return;
                 }
+                let d = self.delay();
+                let outcome = Outcome::Answer(response);
+                self.after(d, Msg::Outcome { node: asker, life: asker_life, call, outcome });
             }
             None => {}
         }
