--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -13,6 +13,7 @@
 use crate::dispatch::Ratios;
 use crate::ids::{JobIx, MachineIx, TaskKey};
 use crate::jobs::Jobs;
+use crate::keeper::Keeper;
 use crate::machines::{Machines, Room};
 use crate::member::{Member, Role};
 use crate::records::RecordedStatus;
@@ -26,6 +27,8 @@
     LeaseNew { sent_ms: u64 },
     LeaseRenew { sent_ms: u64 },
     MemberKey,
+    KeepClaim { epoch: u64, permit: u64 },
+    KeepRead { job: String, sent_ms: u64 },
     ControlRead,
     ControlWatch { sent_ms: u64 },
     Elect { epoch: u64 },
@@ -104,6 +107,7 @@
     pending: HashMap<CallId, Pending>,
     pub(crate) member: Member,
     pub(crate) finals: Finals,
+    pub(crate) keeper: Keeper,
     pub(crate) types: Vec<MachineType>,
     pub(crate) types_at_ms: Option<u64>,
     pub(crate) types_asked_ms: u64,
@@ -147,6 +151,7 @@
             pending: HashMap::new(),
             member,
             finals: Finals::default(),
+            keeper: Keeper::new(),
             types: Vec::new(),
             types_at_ms: None,
             types_asked_ms: 0,
@@ -194,6 +199,7 @@
     fn on_tick(&mut self) {
         self.tick_member();
         self.tick_types();
+        self.tick_keeper();
         self.tick_restore();
         if !self.leads() {
             return;
@@ -248,6 +254,8 @@
             Pending::LeaseNew { sent_ms } => self.on_lease_new(sent_ms, outcome),
             Pending::LeaseRenew { sent_ms } => self.on_lease_renew(sent_ms, outcome),
             Pending::MemberKey => {}
+            Pending::KeepClaim { epoch, permit } => self.on_keep_claim(epoch, permit, outcome),
+            Pending::KeepRead { job, sent_ms } => self.on_keep_read(job, sent_ms, outcome),
             Pending::ControlRead => self.on_control_read(outcome),
             Pending::ControlWatch { sent_ms } => self.on_control_watch(sent_ms, outcome),
             Pending::Elect { epoch } => self.on_elect(epoch, outcome),
--- /dev/null
+++ b/crates/core/src/keeper.rs
@@ -0,0 +1,215 @@
+//! Keeping: a controller that does not lead answers the reports of workers that
+//! can't reach the leader, so that what runs there runs on. It starts nothing.
+//!
+//! Before it keeps anything, its claim stands in the state service, on its lease and
+//! guarded by the present view. The leader presumes no silent machine empty while a
+//! claim stands, nor for a lease's time after it has seen one go.
+
+use std::collections::BTreeMap;
+
+use quartzgate_wire::http::Response;
+use quartzgate_wire::msg::{
+    Change, Guard, Order, Report, ReportAnswer, TaskStatus, Transaction, TransactionAnswer,
+};
+use quartzgate_wire::{from_cbor, to_cbor};
+
+use crate::controller::{Controller, Pending};
+use crate::ids::{epoch_of, parse_task};
+use crate::member::Role;
+use crate::records::{decode, encode, job_key, JobRecord, RecordedStatus, KEEPERS, VIEW};
+use crate::{Outcome, RequestId};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Claim {
+    None,
+    Asking,
+    /// Stands under this epoch's view.
+    Standing {
+        epoch: u64,
+    },
+}
+
+/// What a fresh read said of a job whose task a kept machine holds.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    live: bool,
+    as_of_ms: u64,
+    asked_ms: u64,
+}
+
+pub(crate) struct Keeper {
+    claim: Claim,
+    retry_ms: u64,
+    used_ms: u64,
+    jobs: BTreeMap<String, Known>,
+}
+
+/// Jobs that a keeper looks after at most.
+const JOBS_MOST: usize = 2_000;
+
+impl Keeper {
+    pub fn new() -> Self {
+        Keeper { claim: Claim::None, retry_ms: 0, used_ms: 0, jobs: BTreeMap::new() }
+    }
+}
+
+impl Controller {
+    fn keeper_key(&self) -> String {
+        format!("{KEEPERS}{}", self.cfg.platform.node)
+    }
+
+    /// The one function that changes where the claim stands.
+    fn claim_to(&mut self, claim: Claim) {
+        if self.keeper.claim != claim {
+            match claim {
+                Claim::Standing { epoch } => {
+                    tracing::info!(epoch, "keeping workers that can't reach the leader")
+                }
+                Claim::None if matches!(self.keeper.claim, Claim::Standing { .. }) => {
+                    self.keeper.jobs.clear()
+                }
+                _ => {}
+            }
+            self.keeper.claim = claim;
+        }
+    }
+
+    /// Whether a worker's report may be answered on the leader's behalf. `None` if
+    /// it has to go elsewhere.
+    pub(crate) fn keep(&mut self, id: RequestId, report: &Report) -> bool {
+        let now = self.now.steady_ms;
+        if self.member.role != Role::Follower || !self.leader_out_of_reach() {
+            return false;
+        }
+        let Some(epoch) = self.proven_view_epoch() else { return false };
+        // Nothing to keep, or nothing that was ever commanded.
+        if report.token == 0 || epoch_of(report.token) > epoch {
+            return false;
+        }
+        let claimed = self.keeper.claim == Claim::Standing { epoch };
+        if !claimed {
+            self.claim(epoch);
+        }
+        self.keeper.used_ms = now;
+        let fresh_after = now.saturating_sub(self.cfg.horizon_ms());
+        let reread_after = now.saturating_sub(self.cfg.horizon_ms() / 3);
+        let mut orders = Vec::new();
+        let mut proven = true;
+        let mut ask: Vec<String> = Vec::new();
+        for t in report.tasks.iter().filter(|t| t.status != TaskStatus::Exited) {
+            let Some((job, _)) = parse_task(&t.task) else { continue };
+            let known = self.keeper.jobs.get(job).copied();
+            let asked = known.map_or(0, |k| k.asked_ms);
+            let live = known.is_none_or(|k| k.live);
+            if live
+                && known.map_or(0, |k| k.as_of_ms) < reread_after.max(1)
+                && now >= asked + self.cfg.state_timeout_ms()
+                && !ask.iter().any(|j| j == job)
+            {
+                ask.push(job.to_string());
+            }
+            match known {
+                Some(k) if !k.live => orders.push(Order::Stop {
+                    task: t.task.clone(),
+                    attempt: t.attempt,
+                    grace_s: 0.0,
+                }),
+                Some(k) if k.as_of_ms > 0 && k.as_of_ms >= fresh_after => {}
+                _ => proven = false,
+            }
+        }
+        for job in ask {
+            self.ask_job(job);
+        }
+        if !proven || !claimed {
+            return false;
+        }
+        let body = to_cbor(&ReportAnswer { token: report.token, orders });
+        self.answer(id, Response::new(200, body));
+        true
+    }
+
+    fn ask_job(&mut self, job: String) {
+        let now = self.now.steady_ms;
+        if self.keeper.jobs.len() >= JOBS_MOST || !self.may_read() {
+            return;
+        }
+        let known = self.keeper.jobs.entry(job.clone());
+        known.or_insert(Known { live: true, as_of_ms: 0, asked_ms: 0 }).asked_ms = now;
+        let target = format!("/keys/{}", job_key(&job));
+        self.state_call("GET", target, Vec::new(), Pending::KeepRead { job, sent_ms: now });
+    }
+
+    pub(crate) fn on_keep_read(&mut self, job: String, sent_ms: u64, outcome: Outcome) {
+        let Ok(pair) = self.read_outcome(outcome) else { return };
+        let live = match pair {
+            Some(p) => decode::<JobRecord>(&p.value).map(|r| r.status == RecordedStatus::Live),
+            None => Some(false),
+        };
+        let (Some(live), Some(k)) = (live, self.keeper.jobs.get_mut(&job)) else { return };
+        (k.live, k.as_of_ms) = (live, k.as_of_ms.max(sent_ms));
+    }
+
+    /// Records that this controller keeps workers under the present view.
+    fn claim(&mut self, epoch: u64) {
+        let now = self.now.steady_ms;
+        if self.keeper.claim == Claim::Asking || now < self.keeper.retry_ms {
+            return;
+        }
+        let (Some(permit), Some(stamp)) = (self.lease_permit(), self.view_stamp_seen()) else {
+            return;
+        };
+        if !self.store.writes.take(now, 1.0, 0.0) {
+            return;
+        }
+        self.keeper.retry_ms = now + self.cfg.report_ms();
+        self.claim_to(Claim::Asking);
+        let set =
+            Change::Set { set: self.keeper_key(), value: encode(&epoch), permit: Some(permit) };
+        let guards = vec![Guard { path: VIEW.into(), stamp }];
+        let body = to_cbor(&Transaction { guards, apply: vec![set] });
+        self.state_call("POST", "/multi".into(), body, Pending::KeepClaim { epoch, permit });
+    }
+
+    pub(crate) fn on_keep_claim(&mut self, epoch: u64, permit: u64, outcome: Outcome) {
+        let stands = match outcome {
+            Outcome::Answer(r) if r.status == 200 => {
+                self.state_answered();
+                from_cbor::<TransactionAnswer>(&r.body).is_ok()
+            }
+            _ => false,
+        };
+        // A claim goes with the lease that it was made on.
+        let stands = stands && self.lease_permit() == Some(permit);
+        self.claim_to(if stands { Claim::Standing { epoch } } else { Claim::None });
+    }
+
+    /// The lease that the claim was made on is gone, and the claim with it.
+    pub(crate) fn drop_claim(&mut self) {
+        self.claim_to(Claim::None);
+    }
+
+    /// Ends a claim that no worker has needed for a while, and clears up what is
+    /// left of an earlier one.
+    pub(crate) fn tick_keeper(&mut self) {
+        let now = self.now.steady_ms;
+        if let Claim::Standing { epoch } = self.keeper.claim {
+            let unused = now > self.keeper.used_ms + self.cfg.lease_ms();
+            let other_view = self.view_epoch_seen() != Some(epoch);
+            if unused || other_view || self.member.role != Role::Follower {
+                self.claim_to(Claim::None);
+            }
+        }
+        let own = self.member.keepers.get(&self.cfg.platform.node).copied();
+        let Some(stamp) = own.filter(|_| self.keeper.claim == Claim::None) else { return };
+        if now >= self.keeper.retry_ms && self.store.writes.take(now, 1.0, 0.0) {
+            self.keeper.retry_ms = now + self.cfg.report_ms();
+            let path = self.keeper_key();
+            // Guarded, so that a late one can't undo a later claim.
+            let guards = vec![Guard { path: path.clone(), stamp }];
+            let body =
+                to_cbor(&Transaction { guards, apply: vec![Change::Delete { delete: path }] });
+            self.state_call("POST", "/multi".into(), body, Pending::MemberKey);
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 mod gang;
 mod ids;
 mod jobs;
+mod keeper;
 mod machines;
 mod member;
 pub mod queue;
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -269,7 +269,11 @@
             self.superseded();
         }
         if !self.commands_workers() {
-            let owner = self.known_leader().filter(|l| *l != self.cfg.platform.node);
+            if self.keep(id, &report) {
+                return;
+            }
+            // A leader that we don't hear is no use to name: the worker looks round itself.
+            let owner = self.leader_sibling().and(self.known_leader());
             let body = to_cbor(&Redirect { owner });
             return self.answer(id, Response::new(421, body));
         }
@@ -649,18 +653,20 @@
 
     /// Presumes silent machines empty once their leases must have run out.
     pub(crate) fn presume_silent(&mut self) {
-        let now = self.now.steady_ms;
         let base = in_epoch(self.epoch(), 0);
         let (silence, inheritance) = (self.cfg.silence_ms(), self.cfg.inheritance_ms());
+        // Up to when it is proven that no other controller keeps workers alive.
+        let unkept = self.unkept_ms();
         for ix in self.machines.indexes() {
             let Some(m) = self.machines.get(ix) else { continue };
             let told = m.answered_ms.unwrap_or(0);
             let presumable = match m.state {
                 MachineState::Presumed | MachineState::Gone | MachineState::Returning => false,
                 // It takes no other token than ours: its lease hangs on our answers.
-                _ if m.token_seen >= base => now >= told.max(m.heard_ms) + silence,
+                // Nor was it kept alive for us: that is known up to `unkept`.
+                _ if m.token_seen >= base => unkept >= told.max(m.heard_ms) + silence,
                 // A former owner may have kept it alive until its horizon.
-                _ => now >= self.epoch_began_ms + inheritance && now >= told + silence,
+                _ => unkept >= self.epoch_began_ms + inheritance && unkept >= told + silence,
             };
             let holds =
                 m.state != MachineState::Unheard || !m.unproven.is_empty() || !m.tasks.is_empty();
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -11,7 +11,7 @@
 use crate::budget::Budget;
 use crate::config::Config;
 use crate::controller::{follower_share, leader_share, Controller, Pending};
-use crate::records::{decode, encode, member_key, Leader, View, INBOX, LEADER, VIEW};
+use crate::records::{decode, encode, member_key, Leader, View, INBOX, KEEPERS, LEADER, VIEW};
 use crate::{Outcome, Peer};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +72,15 @@
     state_ms: Option<u64>,
     /// The newest moment whose records we are proven to know.
     pub contact_ms: u64,
+    /// Keepers whose claims stand, and when one was last seen to stand or go.
+    pub keepers: std::collections::BTreeMap<String, u64>,
+    kept_ms: u64,
+    /// The newest moment up to which the control keys are proven to be known.
+    control_ms: u64,
+    control_sent_ms: u64,
+    leader_since_ms: u64,
+    /// When the renewal of the lease that last succeeded was sent.
+    renewed_ms: u64,
     inbox: WatchState,
     inbox_due_ms: u64,
     pub inbox_rev: u64,
@@ -100,6 +109,12 @@
             view_stamp: 0,
             state_ms: None,
             contact_ms: 0,
+            keepers: Default::default(),
+            kept_ms: 0,
+            control_ms: 0,
+            control_sent_ms: 0,
+            leader_since_ms: 0,
+            renewed_ms: 0,
             inbox: WatchState::Unread,
             inbox_due_ms: 0,
             inbox_rev: 0,
@@ -161,6 +176,17 @@
         self.cfg.member_ttl_ms() / 4
     }
 
+    /// The leader's key stands, and yet the leader has not been heard for longer than
+    /// its lease would have outlived it: it lives, out of our reach.
+    pub(crate) fn leader_out_of_reach(&self) -> bool {
+        let Some((leader, _)) = &self.member.leader else { return false };
+        let at = self.cfg.platform.siblings.iter().position(|s| s.node == leader.node);
+        let Some(at) = at else { return false };
+        let heard = self.member.siblings[at].heard_ms.unwrap_or(0);
+        let since = heard.max(self.member.leader_since_ms);
+        self.now.steady_ms > since + self.cfg.member_ttl_ms() * 3 / 2
+    }
+
     /// A sibling that says the state service answers it.
     pub(crate) fn sibling_with_state(&self) -> Option<usize> {
         (0..self.member.siblings.len())
@@ -183,6 +209,58 @@
             || (0..self.member.siblings.len()).any(|at| self.sibling_alive(at))
     }
 
+    /// Up to when it is proven that no keeper kept a worker alive: `silence` after
+    /// that moment no lease given by a keeper can be left. 0 while a claim stands.
+    pub(crate) fn unkept_ms(&self) -> u64 {
+        let m = &self.member;
+        if !m.keepers.is_empty()
+            || m.control_ms < m.kept_ms + self.cfg.silence_ms() && m.kept_ms > 0
+        {
+            return 0;
+        }
+        m.control_ms
+    }
+
+    /// Epoch of the view that stands, if that is proven within the horizon and our
+    /// lease can't have run out.
+    pub(crate) fn proven_view_epoch(&self) -> Option<u64> {
+        let now = self.now.steady_ms;
+        let m = &self.member;
+        let lease = m.renewed_ms + self.cfg.member_ttl_ms() * 9 / 10;
+        (now < lease && now < m.control_ms + self.cfg.horizon_ms())
+            .then(|| m.view.as_ref().map(|(v, _)| v.epoch))
+            .flatten()
+    }
+
+    pub(crate) fn lease_permit(&self) -> Option<u64> {
+        match self.member.lease {
+            LeaseState::Held { permit } => Some(permit),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn view_epoch_seen(&self) -> Option<u64> {
+        self.member.view.as_ref().map(|(v, _)| v.epoch)
+    }
+
+    pub(crate) fn view_stamp_seen(&self) -> Option<u64> {
+        self.member.view.as_ref().map(|(_, s)| *s)
+    }
+
+    fn see_keeper(&mut self, node: &str, stamp: Option<u64>) {
+        let now = self.now.steady_ms;
+        self.member.kept_ms = now;
+        let before = self.member.keepers.contains_key(node);
+        match stamp {
+            Some(stamp) => self.member.keepers.insert(node.to_string(), stamp),
+            None => self.member.keepers.remove(node),
+        };
+        if before != stamp.is_some() && self.leads() {
+            let keeps = stamp.is_some();
+            tracing::info!(node, keeps, "a controller keeps workers that can't reach us");
+        }
+    }
+
     /// The one function that changes this controller's role.
     pub(crate) fn role_to(&mut self, role: Role) {
         let old = std::mem::replace(&mut self.member.role, role);
@@ -227,6 +305,7 @@
             match self.member.control {
                 WatchState::Unread => {
                     self.member.control = WatchState::Reading;
+                    self.member.control_sent_ms = now;
                     let target = format!("/keys?starts={VIEW}");
                     self.state_call("GET", target, Vec::new(), Pending::ControlRead);
                 }
@@ -268,7 +347,7 @@
         self.member.state_ms = Some(self.now.steady_ms);
     }
 
-    pub(crate) fn on_lease_new(&mut self, _sent_ms: u64, outcome: Outcome) {
+    pub(crate) fn on_lease_new(&mut self, sent_ms: u64, outcome: Outcome) {
         let now = self.now.steady_ms;
         self.member.lease = LeaseState::None;
         self.member.lease_due_ms = now + self.cfg.renew_every_ms() / 2;
@@ -276,6 +355,8 @@
             if let (200, Ok(l)) = (r.status, from_cbor::<LeaseAnswer>(&r.body)) {
                 self.state_answered();
                 self.member.lease = LeaseState::Held { permit: l.permit };
+                self.member.renewed_ms = sent_ms;
+                self.drop_claim();
                 let node = self.cfg.platform.node.clone();
                 let set = Change::Set {
                     set: member_key(&node),
@@ -289,16 +370,19 @@
         }
     }
 
-    pub(crate) fn on_lease_renew(&mut self, _sent_ms: u64, outcome: Outcome) {
+    pub(crate) fn on_lease_renew(&mut self, sent_ms: u64, outcome: Outcome) {
         self.member.renewing = false;
         match outcome {
-            Outcome::Answer(r) if r.status == 200 => self.state_answered(),
+            Outcome::Answer(r) if r.status == 200 => {
+                self.state_answered();
+                self.member.renewed_ms = self.member.renewed_ms.max(sent_ms);
+            }
             Outcome::Answer(r) if r.status == 404 => {
                 self.state_answered();
                 tracing::info!("lease at the state service has run out; asking for a new one");
                 self.member.lease = LeaseState::None;
                 self.member.lease_due_ms = 0;
-                self.member.control = WatchState::Unread;
+                self.drop_claim();
             }
             Outcome::Answer(r) => {
                 tracing::debug!(status = r.status, "lease not renewed");
@@ -319,6 +403,8 @@
         self.state_answered();
         let mut leader = None;
         let mut view = None;
+        let had: Vec<String> = self.member.keepers.keys().cloned().collect();
+        let mut have: Vec<(String, u64)> = Vec::new();
         for pair in &list.pairs {
             match pair.path.as_str() {
                 LEADER => leader = decode::<Leader>(&pair.value).map(|l| (l, pair.stamp)),
@@ -329,9 +415,20 @@
                         return;
                     }
                 },
-                _ => {}
+                path => {
+                    have.extend(path.strip_prefix(KEEPERS).map(|n| (n.to_string(), pair.stamp)))
+                }
             }
         }
+        // A claim may have come and gone since the last look: as if one had just gone.
+        self.member.kept_ms = now;
+        for node in had.iter().filter(|n| !have.iter().any(|(h, _)| h == *n)) {
+            self.see_keeper(node, None);
+        }
+        for (node, stamp) in &have {
+            self.see_keeper(node, Some(*stamp));
+        }
+        self.member.control_ms = self.member.control_ms.max(self.member.control_sent_ms);
         self.member.rev = list.ledger_rev;
         self.member.control = WatchState::Idle;
         self.member.control_due_ms = 0;
@@ -355,6 +452,7 @@
         let now = self.now.steady_ms;
         let name = |l: &Option<(Leader, u64)>| l.as_ref().map(|(l, _)| (l.node.clone(), l.epoch));
         if name(&leader) != name(&self.member.leader) {
+            self.member.leader_since_ms = now;
             match &leader {
                 Some((l, _)) => tracing::info!(leader = %l.node, epoch = l.epoch, "leader"),
                 None => tracing::info!("no leader"),
@@ -391,11 +489,15 @@
         if self.member.control != WatchState::Watching {
             return;
         }
-        self.member.control = WatchState::Unread;
-        let Outcome::Answer(r) = outcome else {
-            self.member.control_due_ms = now.max(sent_ms + self.cfg.renew_every_ms());
+        // The watch goes on from where it was, so that no change is missed.
+        self.member.control = WatchState::Idle;
+        self.member.control_due_ms = now.max(sent_ms + self.cfg.renew_every_ms());
+        let Outcome::Answer(r) = outcome else { return };
+        if r.status == 410 {
+            self.state_answered();
+            self.member.control = WatchState::Unread;
             return;
-        };
+        }
         if r.status != 200 {
             self.member.control_due_ms = now + self.cfg.renew_every_ms() / 2;
             return;
@@ -403,6 +505,7 @@
         let Ok(log) = from_cbor::<ChangeLog>(&r.body) else { return };
         self.state_answered();
         self.member.rev = log.ledger_rev;
+        self.member.control_ms = self.member.control_ms.max(sent_ms);
         self.member.control = WatchState::Idle;
         self.member.control_due_ms = 0;
         for change in log.log {
@@ -418,10 +521,18 @@
                             self.see_view(Some((v, change.stamp)))
                         }
                     }
-                    _ => {}
+                    path => {
+                        if let Some(node) = path.strip_prefix(KEEPERS) {
+                            self.see_keeper(node, Some(change.stamp));
+                        }
+                    }
                 }
             } else if change.delete.as_deref() == Some(LEADER) {
                 self.see_leader(None);
+            } else if let Some(node) =
+                change.delete.as_deref().and_then(|d| d.strip_prefix(KEEPERS))
+            {
+                self.see_keeper(node, None);
             }
         }
         self.watch_control();
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -5,6 +5,7 @@
 //! | `members/<node>` | a controller that lives, on its lease |
 //! | `view` | the present epoch and its members |
 //! | `view/leader` | who leads, on its lease |
+//! | `view/keeper/<node>` | a controller that keeps workers for the leader, on its lease |
 //! | `jobs/<ref>` | the spec, then how it ended |
 //! | `shares/<ref>/<part>/<chunk>` | tasks dealt to a part, probes, ends |
 //! | `inbox/<ref>` | a job or abort recorded past the leader, for it to look at |
@@ -15,6 +16,9 @@
 
 pub const VIEW: &str = "view";
 pub const LEADER: &str = "view/leader";
+/// Claims of controllers that keep workers alive for the leader; under the prefix of
+/// the view, so that whoever watches the view sees them.
+pub const KEEPERS: &str = "view/keeper/";
 pub const JOBS: &str = "jobs/";
 pub const SHARES: &str = "shares/";
 pub const INBOX: &str = "inbox/";
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -261,6 +261,44 @@
     w.keep_rules();
 }
 
+/// Guards keeping: while two zones are apart, what runs in the leader's far zone runs
+/// on, an abort still ends it in time, and nothing runs twice afterwards.
+#[test]
+fn a_zone_partition_leaves_running_work_alone() {
+    for seed in 0..6 {
+        let mut w = World::new(3, 6, 0.0, 950 + seed);
+        w.run(2_000);
+        let leader = w.leader().unwrap();
+        // The leader is alone with zone a; the others have zone b.
+        w.submit_surely(&job("wk-000001", Shape::Service, 4));
+        w.submit_surely(&job("wk-000002", Shape::Service, 8));
+        w.until(8_000, "all run", |w| w.on("wk-000001").len() + w.on("wk-000002").len() == 12);
+        let zones: Vec<(String, String)> =
+            w.workers.iter().map(|(n, x)| (n.clone(), x.zone.clone())).collect();
+        for n in 0..3 {
+            let far = if n == leader { "b" } else { "a" };
+            if n != leader {
+                w.cut(End::Node(leader), End::Node(n), Cut::Drop);
+            }
+            for (m, _) in zones.iter().filter(|(_, z)| z == far) {
+                w.cut(End::Node(n), End::Worker(m.clone()), Cut::Drop);
+            }
+        }
+        let starts: usize = w.starts.values().map(Vec::len).sum();
+        w.run(10_000);
+        w.abort_surely("wk-000002");
+        w.run(CANCEL_MS + 3_000);
+        assert!(w.on("wk-000002").is_empty());
+        assert_eq!(w.on("wk-000001").len(), 4, "seed {seed}");
+        let now: usize = w.starts.values().map(Vec::len).sum();
+        assert_eq!(starts, now, "seed {seed}: nothing had to start again");
+        w.heal();
+        w.run(20_000);
+        assert_eq!(w.on("wk-000001").len(), 4);
+        w.keep_rules();
+    }
+}
+
 /// Guards users when no leader can be reached: a follower records the job itself, and
 /// the next leader finds it.
 #[test]
