--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -42,14 +42,29 @@
     retry_ms: u64,
     used_ms: u64,
     jobs: BTreeMap<String, Known>,
+    /// Reports that wait for the claim or for a read, and until when.
+    parked: Vec<(RequestId, Report, u64)>,
 }
 
+/// What became of a report that reached a controller which does not lead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Verdict {
+    /// Answered on the leader's behalf.
+    Kept,
+    /// Can be answered as soon as what was asked of the state service has come.
+    Soon,
+    /// Has to go elsewhere.
+    No,
+}
+
+/// Reports that may wait at a time.
+const PARKED_MOST: usize = 200;
 /// Jobs that a keeper looks after at most.
 const JOBS_MOST: usize = 2_000;
 
 impl Keeper {
     pub fn new() -> Self {
-        Keeper { claim: Claim::None, retry_ms: 0, used_ms: 0, jobs: BTreeMap::new() }
+        Keeper { claim: Claim::None, retry_ms: 0, used_ms: 0, jobs: BTreeMap::new(), parked: Vec::new() }
     }
 }
 
@@ -74,17 +89,43 @@
         }
     }
 
-    /// Whether a worker's report may be answered on the leader's behalf. `None` if
-    /// it has to go elsewhere.
+    /// Takes a worker's report on the leader's behalf; false if it has to go elsewhere.
     pub(crate) fn keep(&mut self, id: RequestId, report: &Report) -> bool {
+        match self.try_keep(id, report) {
+            Verdict::Kept => true,
+            // Sent round once more it might find its lease run out.
+            Verdict::Soon if self.keeper.parked.len() < PARKED_MOST => {
+                let until = self.now.steady_ms + self.cfg.report_ms();
+                self.keeper.parked.push((id, report.clone(), until));
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn retry_parked(&mut self) {
         let now = self.now.steady_ms;
-        if self.member.role != Role::Follower || !self.leader_out_of_reach() {
-            return false;
+        for (id, report, until) in std::mem::take(&mut self.keeper.parked) {
+            match self.try_keep(id, &report) {
+                Verdict::Kept => {}
+                Verdict::Soon if now < until => self.keeper.parked.push((id, report, until)),
+                _ => self.redirect(id),
+            }
         }
-        let Some(epoch) = self.proven_view_epoch() else { return false };
-        // Nothing to keep, or nothing that was ever commanded.
+    }
+
+    fn try_keep(&mut self, id: RequestId, report: &Report) -> Verdict {
+        let now = self.now.steady_ms;
+        if self.member.role != Role::Follower || !self.leader_missed() {
+            return Verdict::No;
+        }
+        let Some(epoch) = self.proven_view_epoch() else { return Verdict::No };
+        // Nothing to keep: it was never commanded, or by one that we know nothing of.
         if report.token == 0 || epoch_of(report.token) > epoch {
-            return false;
+            return Verdict::No;
+        }
+        if !self.leader_out_of_reach() {
+            return Verdict::Soon;
         }
         let claimed = self.keeper.claim == Claim::Standing { epoch };
         if !claimed {
@@ -122,11 +163,11 @@
             self.ask_job(job);
         }
         if !proven || !claimed {
-            return false;
+            return Verdict::Soon;
         }
         let body = to_cbor(&ReportAnswer { token: report.token, orders });
         self.answer(id, Response::new(200, body));
-        true
+        Verdict::Kept
     }
 
     fn ask_job(&mut self, job: String) {
@@ -193,6 +234,7 @@
     /// left of an earlier one.
     pub(crate) fn tick_keeper(&mut self) {
         let now = self.now.steady_ms;
+        self.retry_parked();
         if let Claim::Standing { epoch } = self.keeper.claim {
             let unused = now > self.keeper.used_ms + self.cfg.lease_ms();
             let other_view = self.view_epoch_seen() != Some(epoch);
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -272,10 +272,7 @@
             if self.keep(id, &report) {
                 return;
             }
-            // A leader that we don't hear is no use to name: the worker looks round itself.
-            let owner = self.leader_sibling().and(self.known_leader());
-            let body = to_cbor(&Redirect { owner });
-            return self.answer(id, Response::new(421, body));
+            return self.redirect(id);
         }
         let ix = self.machine(&report.machine);
         self.observe(ix, report);
@@ -287,6 +284,13 @@
         self.answer(id, Response::new(200, body));
     }
 
+    /// Sends a worker to the controller that owns its machine. A leader that we don't
+    /// hear is no use to name: the worker looks round itself.
+    pub(crate) fn redirect(&mut self, id: RequestId) {
+        let owner = self.leader_sibling().and(self.known_leader());
+        self.answer(id, Response::new(421, to_cbor(&Redirect { owner })));
+    }
+
     /// Takes in a report, whether it came by itself or as the answer to orders.
     /// An older one than the newest known says nothing.
     pub(crate) fn observe(&mut self, ix: MachineIx, report: Report) {
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -176,15 +176,23 @@
         self.cfg.member_ttl_ms() / 4
     }
 
-    /// The leader's key stands, and yet the leader has not been heard for longer than
-    /// its lease would have outlived it: it lives, out of our reach.
-    pub(crate) fn leader_out_of_reach(&self) -> bool {
-        let Some((leader, _)) = &self.member.leader else { return false };
-        let at = self.cfg.platform.siblings.iter().position(|s| s.node == leader.node);
-        let Some(at) = at else { return false };
+    /// The leader has not been heard for longer than a beat.
+    pub(crate) fn leader_missed(&self) -> bool {
+        self.leader_heard_ms().is_some_and(|h| self.now.steady_ms > h + self.beat_ms() * 5 / 4)
+    }
+
+    /// When the leader whose key stands was last heard, or first seen to lead.
+    fn leader_heard_ms(&self) -> Option<u64> {
+        let (leader, _) = self.member.leader.as_ref()?;
+        let at = self.cfg.platform.siblings.iter().position(|s| s.node == leader.node)?;
         let heard = self.member.siblings[at].heard_ms.unwrap_or(0);
-        let since = heard.max(self.member.leader_since_ms);
-        self.now.steady_ms > since + self.cfg.member_ttl_ms() * 3 / 2
+        Some(heard.max(self.member.leader_since_ms))
+    }
+
+    /// The leader's key stands, and yet the leader has missed its beats: it lives out
+    /// of our reach, or has just died.
+    pub(crate) fn leader_out_of_reach(&self) -> bool {
+        self.leader_heard_ms().is_some_and(|h| self.now.steady_ms > h + 2 * self.beat_ms())
     }
 
     /// A sibling that says the state service answers it.
