Workers report through a controller of their own zone, which keeps them if zones part

Cause: after a partition workers walked round nodes that hang for four seconds each and reached a controller of their zone when their lease had run out. Followers now relay reports of their own zone, may read more of the state service's budget, and the leader inspects machines that it no longer hears.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -138,6 +138,12 @@
         self.report_ms().clamp(800, ANSWER_DROP_MS / 2)
     }
 
+    /// How long a worker's report may wait for an answer: well within the time
+    /// after which the worker looks elsewhere.
+    pub fn park_ms(&self) -> u64 {
+        ANSWER_DROP_MS * 3 / 4
+    }
+
     /// Time for a sibling to answer a request passed on: well within the two
     /// seconds that a poll waits.
     pub fn mesh_timeout_ms(&self) -> u64 {
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use quartzgate_wire::http::Response;
-use quartzgate_wire::msg::{ErrorAnswer, JobSpec, MachineType};
+use quartzgate_wire::msg::{ErrorAnswer, JobSpec, MachineType, Report};
 use quartzgate_wire::to_cbor;
 use rand::rngs::SmallRng;
 
@@ -48,6 +48,7 @@
     Poll { request: RequestId, id: String },
     Forward { request: RequestId, sibling: usize, work: Box<UserWork> },
     Beat { sibling: usize },
+    Relay { request: RequestId, report: Box<Report> },
     Adopt { job: JobIx, epoch: u64 },
     Types,
     List { since: Option<String> },
@@ -208,6 +209,7 @@
         if now >= self.second_at_ms {
             self.second_at_ms = now + 1000.min(self.cfg.report_ms());
             self.presume_silent();
+            self.inspect_quiet();
             self.tick_cloud();
             self.drain();
             self.retry_reads();
@@ -267,6 +269,7 @@
             Pending::Forward { request, sibling, work } => {
                 self.on_forwarded(request, sibling, *work, outcome)
             }
+            Pending::Relay { request, report } => self.on_relayed(request, *report, outcome),
             Pending::Beat { sibling } => self.on_beat(sibling, outcome),
             Pending::Types => self.on_types(outcome),
             Pending::Accept { request, job, epoch } => {
@@ -417,10 +420,10 @@
 /// Shares of the state service's limits that the leader may use; the rest is for
 /// the other controllers.
 pub(crate) fn leader_share(limit: f64) -> Budget {
-    Budget::new(limit * 0.8)
+    Budget::new(limit * 0.7)
 }
 
 /// Share of a limit for one controller that does not lead.
 pub(crate) fn follower_share(limit: f64, controllers: usize) -> Budget {
-    Budget::new((limit * 0.2 / controllers.max(1) as f64).max(1.0))
+    Budget::new((limit * 0.3 / (controllers.max(2) - 1) as f64).max(2.0))
 }
--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -64,7 +64,13 @@
 
 impl Keeper {
     pub fn new() -> Self {
-        Keeper { claim: Claim::None, retry_ms: 0, used_ms: 0, jobs: BTreeMap::new(), parked: Vec::new() }
+        Keeper {
+            claim: Claim::None,
+            retry_ms: 0,
+            used_ms: 0,
+            jobs: BTreeMap::new(),
+            parked: Vec::new(),
+        }
     }
 }
 
@@ -95,7 +101,7 @@
             Verdict::Kept => true,
             // Sent round once more it might find its lease run out.
             Verdict::Soon if self.keeper.parked.len() < PARKED_MOST => {
-                let until = self.now.steady_ms + self.cfg.report_ms();
+                let until = self.now.steady_ms + self.cfg.park_ms();
                 self.keeper.parked.push((id, report.clone(), until));
                 true
             }
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -5,7 +5,9 @@
 use std::net::SocketAddr;
 
 use quartzgate_wire::http::Response;
-use quartzgate_wire::msg::{Cause, Order, OrdersRequest, Redirect, Report, ReportAnswer, Shape};
+use quartzgate_wire::msg::{
+    Cause, Forward, Order, OrdersRequest, Redirect, Report, ReportAnswer, Shape,
+};
 use quartzgate_wire::msg::{ReportTask, TaskStatus};
 use quartzgate_wire::{from_cbor, to_cbor};
 
@@ -256,8 +258,8 @@
     }
 
     /// A worker's report: `POST /checkin`.
-    pub(crate) fn on_checkin(&mut self, id: RequestId, body: &[u8]) {
-        let report: Report = match from_cbor(body) {
+    pub(crate) fn on_checkin(&mut self, id: RequestId, body: Vec<u8>, passed_on: bool) {
+        let report: Report = match from_cbor(&body) {
             Ok(r) => r,
             Err(e) => return self.answer_error(id, 400, &e.to_string()),
         };
@@ -269,11 +271,21 @@
             self.superseded();
         }
         if !self.commands_workers() {
+            if passed_on {
+                return self.redirect(id);
+            }
+            if report.zone == self.cfg.platform.zone && self.relay(id, &report, body) {
+                return;
+            }
             if self.keep(id, &report) {
                 return;
             }
             return self.redirect(id);
         }
+        if let Some(near) = self.nearer(&report).filter(|_| !passed_on) {
+            let body = to_cbor(&Redirect { owner: Some(near) });
+            return self.answer(id, Response::new(421, body));
+        }
         let ix = self.machine(&report.machine);
         self.observe(ix, report);
         let now = self.now.steady_ms;
@@ -284,6 +296,57 @@
         self.answer(id, Response::new(200, body));
     }
 
+    /// A worker is best served by a controller of its own zone: should the zones part,
+    /// that one keeps it. Said only to workers whose lease is fresh.
+    fn nearer(&self, report: &Report) -> Option<String> {
+        let p = &self.cfg.platform;
+        if report.zone == p.zone {
+            return None;
+        }
+        let m = self.machines.get(self.machines.find(&report.machine)?)?;
+        let fresh = m.answered_ms? + 3 * self.cfg.report_ms() > self.now.steady_ms;
+        if m.state != MachineState::Ready || !fresh {
+            return None;
+        }
+        let near: Vec<&str> = p
+            .siblings
+            .iter()
+            .enumerate()
+            .filter(|(at, s)| s.zone == report.zone && self.sibling_serves(*at))
+            .map(|(_, s)| s.node.as_str())
+            .collect();
+        let n = m.name.bytes().fold(0usize, |a, b| a.wrapping_mul(31).wrapping_add(b.into()));
+        (!near.is_empty()).then(|| near[n % near.len()].to_string())
+    }
+
+    /// Passes a report of the own zone on to the leader; false if it can't be reached.
+    fn relay(&mut self, id: RequestId, report: &Report, body: Vec<u8>) -> bool {
+        let Some(at) = self.leader_sibling().filter(|_| !self.leader_missed()) else {
+            return false;
+        };
+        let mut message = self.mesh_message();
+        let (method, path) = ("POST".to_string(), "/checkin".to_string());
+        message.forward = Some(Forward { method, path, body });
+        let timeout = self.cfg.mesh_timeout_ms();
+        let pending = Pending::Relay { request: id, report: Box::new(report.clone()) };
+        self.call(Peer::Sibling(at), "POST", "/mesh".into(), to_cbor(&message), timeout, pending);
+        true
+    }
+
+    pub(crate) fn on_relayed(&mut self, id: RequestId, report: Report, outcome: Outcome) {
+        match outcome {
+            Outcome::Answer(r) if r.status == 200 => {
+                self.answer(id, Response::new(200, r.body));
+            }
+            Outcome::Answer(_) => self.redirect(id),
+            _ => {
+                if !self.keep(id, &report) {
+                    self.redirect(id)
+                }
+            }
+        }
+    }
+
     /// Sends a worker to the controller that owns its machine. A leader that we don't
     /// hear is no use to name: the worker looks round itself.
     pub(crate) fn redirect(&mut self, id: RequestId) {
@@ -655,6 +718,27 @@
         }
     }
 
+    /// Asks machines that have been quiet for their report: they may report to a
+    /// controller that we don't hear.
+    pub(crate) fn inspect_quiet(&mut self) {
+        let now = self.now.steady_ms;
+        let quiet = 2 * self.cfg.report_ms();
+        let due: Vec<MachineIx> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| {
+                matches!(m.state, MachineState::Ready | MachineState::Greeted)
+                    && now > m.heard_ms + quiet
+                    && now > m.probed_ms + quiet
+                    && !m.calling
+            })
+            .map(|(ix, _)| ix)
+            .collect();
+        for ix in due {
+            self.inspect(ix);
+        }
+    }
+
     /// Presumes silent machines empty once their leases must have run out.
     pub(crate) fn presume_silent(&mut self) {
         let base = in_epoch(self.epoch(), 0);
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -167,6 +167,13 @@
         self.sibling_alive(at).then_some(at)
     }
 
+    /// A sibling that has been heard within a beat or two and has the state service.
+    pub(crate) fn sibling_serves(&self, at: usize) -> bool {
+        let s = &self.member.siblings[at];
+        let late = self.beat_ms() * 2;
+        s.has_state && s.heard_ms.is_some_and(|h| self.now.steady_ms < h + late)
+    }
+
     fn sibling_alive(&self, at: usize) -> bool {
         let now = self.now.steady_ms;
         self.member.siblings[at].heard_ms.is_some_and(|h| now < h + 3 * self.beat_ms())
@@ -722,6 +729,7 @@
             return self.answer_error(id, 400, "unknown sibling or mesh version");
         }
         match message.forward {
+            Some(f) if f.path == "/checkin" => self.on_checkin(id, f.body, true),
             Some(f) => self.on_user(id, &f.method, &f.path, f.body, true),
             None => {
                 let body = to_cbor(&self.mesh_message());
--- a/crates/core/src/restore.rs
+++ b/crates/core/src/restore.rs
@@ -282,6 +282,7 @@
         let Ok(report) = from_cbor::<Report>(&r.body) else { return };
         if r.status == 200 && sane(&report) && report.machine == m.name {
             self.observe(ix, report);
+            self.needs_orders.insert(ix);
         }
     }
 
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -53,7 +53,7 @@
 impl Store {
     pub fn new(cfg: &Config) -> Self {
         Store {
-            writes: leader_share(cfg.platform.params.state.write_rps),
+            writes: leader_share(cfg.platform.params.state.write_rps * 1.15),
             dirty: BTreeSet::new(),
             jobs: BTreeSet::new(),
             inbox: BTreeSet::new(),
