Production preempts without waiting for saves, and where its image lies

Cause: storefront starts that preempted waited two seconds for a save and one or more for an image, past their one second. A save is now skipped for production and where less work is at stake than it takes; machines that the wait objective leaves no time to fetch on come after those that can be cleared.

--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -27,6 +27,10 @@
     spare: Room,
     wait_s: f64,
     image: bool,
+    /// Fetching the image would take longer than the job's class may wait.
+    late: bool,
+    /// Room that lower priorities would make.
+    yields: Room,
     spot: bool,
     used_share: f64,
     queued: usize,
@@ -100,6 +104,7 @@
         let Some(job) = self.jobs.get(ix) else { return Vec::new() };
         let need = job.room();
         let now = self.now.steady_ms;
+        let within_s = self.may_wait_s(&job.spec.class);
         self.machines
             .iter()
             .filter(|(_, m)| m.usable() && self.allows(&job.spec, &m.kind, m.zone, m.spot))
@@ -116,13 +121,24 @@
                     let probes = j.task(key.task).map_or(1, |t| t.probes.len()).max(1);
                     spare.add(&j.room(), -1.0 / probes as f64);
                 }
+                let image = m.images.contains_key(&job.spec.image);
+                let fetch_s = self.fetch_s(&job.spec, &m.kind);
+                let mut yields = free;
+                for k in m.tasks.keys().filter(|_| job.spec.rank >= Rank::High) {
+                    let Some(j) = self.jobs.get(k.job) else { continue };
+                    if j.spec.rank < job.spec.rank && j.spec.shape != Shape::Gang {
+                        yields.add(&j.room(), 1.0);
+                    }
+                }
                 Some(Candidate {
                     ix: mix,
+                    late: !image && within_s.is_some_and(|w| fetch_s > w),
+                    yields,
                     zone: m.zone,
                     free,
                     spare,
                     wait_s: self.wait_of(mix),
-                    image: m.images.contains_key(&job.spec.image),
+                    image,
                     spot: m.spot,
                     used_share: m.used.cpus / all.cpus.max(1e-9),
                     queued: m.queue.len(),
@@ -144,9 +160,16 @@
             let mut score = self.rng.random_range(0.0..0.01);
             if c.spare.fits(need) {
                 // Room now: where the image lies, then cheap, then filling up machines.
-                score += if c.image { 0.0 } else { 1.0 };
+                score += match (c.image, c.late) {
+                    (true, _) => 0.0,
+                    (_, false) => 1.0,
+                    (_, true) => 4.0,
+                };
                 score += if spec_spot && !c.spot { 0.5 } else { 0.0 };
                 score += 0.4 * (1.0 - c.used_share);
+            } else if c.yields.fits(need) {
+                score += 3.0 + if c.image { 0.0 } else { 2.0 };
+                score += 0.4 * c.queued as f64;
             } else {
                 let room = if c.free.fits(need) { 5.0 } else { 10.0 };
                 score += room + c.wait_s + c.queued as f64;
@@ -160,11 +183,29 @@
         for (n, &at) in picks.iter().enumerate() {
             let weight = if n == 0 { 1.0 } else { part / 2.0 };
             list[at].spare.add(need, -weight);
+            list[at].yields.add(need, -weight);
             list[at].queued += 1;
         }
         picks.into_iter().map(|at| list[at].ix).collect()
     }
 
+    /// Time that a job's image takes to be fetched on a type of machine.
+    pub(crate) fn fetch_s(&self, spec: &JobSpec, kind: &str) -> f64 {
+        let rate = self.types.iter().find(|t| t.name == kind).map_or(0.0, |t| t.fetch_gb_per_s);
+        if rate > 0.0 {
+            spec.image_gb / rate
+        } else {
+            0.0
+        }
+    }
+
+    /// Longest time that the operators would have tasks of a class wait.
+    fn may_wait_s(&self, class: &str) -> Option<f64> {
+        let objectives = &self.cfg.platform.params.objectives;
+        let waits = objectives.iter().filter(|o| o.kind == "wait");
+        waits.filter(|o| o.class.as_deref() == Some(class)).find_map(|o| o.within_s)
+    }
+
     /// How many machines a task of this job is probed to.
     fn probe_count(&self, spec: &JobSpec) -> usize {
         if spec.estimate_s > self.cfg.operator.long_task_s {
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -322,6 +322,10 @@
                 cost += loss;
                 chosen.push(k);
             }
+            // Seconds of a fetch weigh as much as seconds of work lost.
+            if !m.images.contains_key(&job.spec.image) {
+                cost += 2.0 * job.spec.cpus * self.fetch_s(&job.spec, &m.kind);
+            }
             if room.fits(&need) && best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
                 best = Some((cost, p.machine, chosen));
             }
@@ -329,7 +333,9 @@
         let Some((_, machine, victims)) = best else { return };
         promised.entry(machine).or_default().add(&need, 1.0);
         for k in victims {
-            self.stop_task(k, "making room for higher priority");
+            // Production does not wait for others to save.
+            let why = "making room for higher priority";
+            self.stop_task_as(k, why, rank < Rank::Production);
         }
     }
 
@@ -345,23 +351,32 @@
             Rank::High => 2000.0,
             Rank::Production => 3000.0,
         };
-        let lost = if job.spec.checkpoint_s > 0.0 { job.spec.save_s } else { ran };
+        // Progress since the last checkpoint, or the time that a save takes.
+        let lost = match job.spec.checkpoint_s {
+            every if every > 0.0 => (ran % every).min(job.spec.save_s),
+            _ => ran,
+        };
         rank + job.spec.cpus * lost
     }
 
     /// Tells a task to stop; it saves if it can.
     pub(crate) fn stop_task(&mut self, key: TaskKey, why: &str) {
+        self.stop_task_as(key, why, true)
+    }
+
+    /// Tells a task to stop; it saves if it can, if it may, and if that is worth it.
+    fn stop_task_as(&mut self, key: TaskKey, why: &str, may_save: bool) {
         let Some(job) = self.jobs.get(key.job) else { return };
         if job.spec.shape == Shape::Gang {
             tracing::debug!(job = %job.id, why, "stopping the gang");
             return self.stop_gang(key.job);
         }
         let Some(task) = job.task(key.task) else { return };
-        let (machine, attempt) = match task.state {
-            TaskState::On { machine, attempt, .. } => (machine, attempt),
-            _ => return,
-        };
-        let grace = job.spec.checkpoint_s > 0.0;
+        let TaskState::On { machine, attempt, status, since_ms } = task.state else { return };
+        let ran = (self.now.steady_ms - since_ms) as f64 / 1000.0;
+        let every = job.spec.checkpoint_s;
+        let worth = every > 0.0 && status == TaskStatus::Running && ran % every > job.spec.save_s;
+        let grace = may_save && worth;
         tracing::debug!(job = %job.id, task = key.task, why, "stopping");
         self.task_to(key, TaskState::Stopping { machine, attempt, grace });
         self.needs_orders.insert(machine);
