Return the odd silent machine at half its lease; tests of hostile input and settings

Cause: replicas on a machine that died came back only when its lease had run out. Where most machines are heard, a silent one is returned, and the cloud's answer frees its tasks.

--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -210,6 +210,7 @@
             self.second_at_ms = now + 1000.min(self.cfg.report_ms());
             self.presume_silent();
             self.inspect_quiet();
+            self.return_silent();
             self.tick_cloud();
             self.drain();
             self.retry_reads();
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -718,6 +718,39 @@
         }
     }
 
+    /// Sends back the odd machine that has fallen silent while the others are heard:
+    /// the cloud's word that it is gone frees its tasks before its lease would. Where
+    /// many are silent the network is to blame, and they are left alone.
+    pub(crate) fn return_silent(&mut self) {
+        let now = self.now.steady_ms;
+        let patience = self.cfg.lease_ms() / 2;
+        let (mut silent, mut heard) = (Vec::new(), 0);
+        for (ix, m) in self.machines.iter() {
+            let since = m.heard_ms.max(m.since_ms).max(self.epoch_began_ms);
+            let holds = !m.tasks.is_empty() || !m.unproven.is_empty();
+            match m.state {
+                MachineState::Ready | MachineState::Greeted | MachineState::Unheard
+                    if now > since + patience =>
+                {
+                    silent.push((ix, holds))
+                }
+                MachineState::Ready => heard += 1,
+                _ => {}
+            }
+        }
+        if silent.len() * 6 > heard + 6 || !self.member.keepers.is_empty() {
+            return;
+        }
+        for (ix, holds) in silent {
+            if holds {
+                if let Some(m) = self.machines.get(ix) {
+                    tracing::info!(machine = %m.name, "silent while others are heard");
+                }
+                self.begin_return(ix);
+            }
+        }
+    }
+
     /// Asks machines that have been quiet for their report: they may report to a
     /// controller that we don't hear.
     pub(crate) fn inspect_quiet(&mut self) {
--- /dev/null
+++ b/crates/quartzgate/tests/command_line.rs
@@ -0,0 +1,73 @@
+//! The command line and the settings, as a user meets them.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+fn example() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/example.json")
+}
+
+fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_quartzgate")).args(args).output().unwrap()
+}
+
+fn check(name: &str, platform: &str, operator: Option<&str>) -> (bool, String) {
+    let dir = std::env::temp_dir().join(format!("quartzgate-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let (json, yaml) = (dir.join("settings.json"), dir.join("operator.yaml"));
+    std::fs::write(&json, platform).unwrap();
+    let mut args = vec!["--check", "--config", json.to_str().unwrap()];
+    if let Some(text) = operator {
+        std::fs::write(&yaml, text).unwrap();
+        args.extend(["--operator", yaml.to_str().unwrap()]);
+    }
+    let out = run(&args);
+    std::fs::remove_dir_all(&dir).unwrap();
+    let text = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(text.lines().count() <= 1, "one clear line, not: {text}");
+    (out.status.success(), text)
+}
+
+/// Guards the example files that the README points at.
+#[test]
+fn the_examples_are_in_order() {
+    let platform = std::fs::read_to_string(example()).unwrap();
+    let yaml = example().with_file_name("operator.yaml");
+    let operator = std::fs::read_to_string(yaml).unwrap();
+    let (ok, text) = check("examples", &platform, Some(&operator));
+    assert!(ok, "{text}");
+    assert!(String::from_utf8_lossy(&run(&["--version"]).stdout).contains("quartzgate"));
+    assert!(run(&["--help"]).status.success());
+}
+
+/// Guards the start: what is missing or makes no sense is named in one line, and the
+/// program ends; what is unknown in the platform's file is ignored.
+#[test]
+fn senseless_settings_are_refused_by_name() {
+    let good = std::fs::read_to_string(example()).unwrap();
+    let edited = |from: &str, to: &str| {
+        assert!(good.contains(from));
+        good.replacen(from, to, 1)
+    };
+    let cases = [
+        ("missing", edited("\"lease_s\": 12.0,", ""), "lease_s"),
+        ("zero", edited("\"report_s\": 2.0", "\"report_s\": 0.0"), "report_s"),
+        ("order", edited("\"cancel_s\": 40.0", "\"cancel_s\": 5.0"), "cancel_s"),
+        ("address", edited("127.0.0.1:8080", "somewhere:8080"), "client_listen"),
+        ("json", "{".to_string(), "EOF"),
+    ];
+    for (name, text, word) in cases {
+        let (ok, said) = check(name, &text, None);
+        assert!(!ok && said.contains(word), "{name}: {said}");
+    }
+    let extra = edited("\"node\":", "\"unknown\": 1, \"node\":");
+    assert!(check("extra", &extra, None).0);
+    for (name, yaml, word) in [
+        ("typo", "probs: 3", "probs"),
+        ("range", "probes: 0", "probes"),
+        ("kind", "slack_cap: many", "slack_cap"),
+    ] {
+        let (ok, said) = check(name, &good, Some(yaml));
+        assert!(!ok && said.contains(word), "{name}: {said}");
+    }
+}
