--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -195,7 +195,9 @@
 
     /// Sends a machine back; its tasks are gone once the cloud has said so.
     pub(crate) fn begin_return(&mut self, ix: MachineIx) {
-        if !self.cloud.returning.contains(&ix) {
+        let state = self.machines.get(ix).map(|m| m.state);
+        let under_way = matches!(state, Some(MachineState::Returning | MachineState::Gone));
+        if !under_way && !self.cloud.returning.contains(&ix) {
             self.machine_to(ix, MachineState::Returning);
             self.cloud.returning.push(ix);
         }
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -29,6 +29,7 @@
     MemberKey,
     KeepClaim { epoch: u64, permit: u64 },
     KeepRead { job: String, sent_ms: u64 },
+    ReadAgain { job: String, epoch: u64 },
     ControlRead,
     ControlWatch { sent_ms: u64 },
     Elect { epoch: u64 },
@@ -211,6 +212,8 @@
             self.presume_silent();
             self.inspect_quiet();
             self.return_silent();
+            self.fence_aborted();
+            self.read_again();
             self.tick_cloud();
             self.drain();
             self.retry_reads();
@@ -291,6 +294,7 @@
             Pending::Restore { epoch }
             | Pending::InboxWatch { epoch, .. }
             | Pending::InboxRead { epoch, .. }
+            | Pending::ReadAgain { epoch, .. }
             | Pending::Inspect { epoch, .. }
             | Pending::Flush { epoch, .. }
             | Pending::Restamp { epoch, .. }
@@ -300,6 +304,7 @@
                 if epoch != current => {}
             Pending::Restore { .. } => self.on_restore(outcome),
             Pending::InboxWatch { sent_ms, .. } => self.on_inbox_watch(sent_ms, outcome),
+            Pending::ReadAgain { job, .. } => self.on_read_again(job, outcome),
             Pending::InboxRead { job, .. } => self.on_inbox_read(job, outcome),
             Pending::Orders { machine, token, starts } => {
                 if crate::ids::epoch_of(token) == current {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -121,6 +121,9 @@
     /// First task that has not been dealt.
     pub next: u32,
     pub errors_on: Vec<MachineIx>,
+    pub aborted_ms: u64,
+    /// When its record was last read again.
+    pub read_ms: u64,
 }
 
 impl Job {
@@ -254,6 +257,8 @@
             waiting: 0,
             next: 0,
             errors_on: Vec::new(),
+            aborted_ms: self.now.steady_ms,
+            read_ms: self.now.steady_ms,
         }
     }
 
@@ -331,13 +336,15 @@
     /// The one function that changes a job's state.
     pub(crate) fn job_to(&mut self, ix: JobIx, state: JobState) {
         let Some(job) = self.jobs.get_mut(ix) else { return };
-        let old = std::mem::replace(&mut job.state, state);
-        if old == state {
+        // An end on record is an end: nothing that was under way brings the job back.
+        if job.state == state || matches!(job.state, JobState::Aborted | JobState::Done) {
             return;
         }
+        let old = std::mem::replace(&mut job.state, state);
         match state {
             JobState::Aborted => {
                 tracing::info!(job = %job.id, "aborted");
+                job.aborted_ms = self.now.steady_ms;
                 let keys: Vec<u32> = job.tasks().map(|(t, _)| t).collect();
                 for task in keys {
                     let key = TaskKey { job: ix, task };
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -202,10 +202,12 @@
     pub(crate) fn machine_to(&mut self, ix: MachineIx, state: MachineState) {
         let epoch = self.epoch();
         let Some(m) = self.machines.get_mut(ix) else { return };
-        let old = std::mem::replace(&mut m.state, state);
-        if old == state {
+        // What is being returned stays so until the cloud has said that it is gone.
+        let leaving = m.state == MachineState::Returning && state != MachineState::Gone;
+        if m.state == state || leaving || m.state == MachineState::Gone {
             return;
         }
+        let old = std::mem::replace(&mut m.state, state);
         match state {
             MachineState::Ready => {
                 if matches!(old, MachineState::Unheard | MachineState::Greeted) {
@@ -361,9 +363,6 @@
         let zone = self.zone_ix(&report.zone);
         let Some(m) = self.machines.get_mut(ix) else { return };
         m.heard_ms = now;
-        if matches!(m.state, MachineState::Gone | MachineState::Returning) {
-            return;
-        }
         if (report.tenure, report.seq) <= (m.tenure, m.seq) {
             return;
         }
@@ -394,7 +393,7 @@
     pub(crate) fn settle(&mut self, ix: MachineIx) {
         let base = in_epoch(self.epoch(), 0);
         let Some(m) = self.machines.get_mut(ix) else { return };
-        if m.heard_ms == 0 || matches!(m.state, MachineState::Gone | MachineState::Returning) {
+        if m.heard_ms == 0 || m.state == MachineState::Gone {
             return;
         }
         let new_session = std::mem::take(&mut m.fresh_session);
--- a/crates/core/src/restore.rs
+++ b/crates/core/src/restore.rs
@@ -294,7 +294,8 @@
         if let Some(ix) = self.jobs.find(id) {
             return Some(ix);
         }
-        if record.status != RecordedStatus::Live {
+        // The record may have been read before the end that we have seen meanwhile.
+        if record.status != RecordedStatus::Live || self.finals.get(id).is_some() {
             return None;
         }
         let ix = self.insert_recorded(record, stamp)?;
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -519,6 +519,65 @@
         }
     }
 
+    /// Reads the records of live jobs again in turn, each well within the horizon: a
+    /// second way to learn of an abort that was recorded past us.
+    pub(crate) fn read_again(&mut self) {
+        let now = self.now.steady_ms;
+        let every = self.cfg.horizon_ms() / 3;
+        let due: Vec<(JobIx, String)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.state == JobState::Live && !j.busy && now > j.read_ms + every)
+            .map(|(ix, j)| (ix, j.id.clone()))
+            .collect();
+        for (ix, job) in due {
+            if !self.member.reads.take(now, 1.0, 0.5) {
+                return;
+            }
+            if let Some(j) = self.jobs.get_mut(ix) {
+                j.read_ms = now;
+            }
+            let target = format!("/keys/{}", job_key(&job));
+            let pending = Pending::ReadAgain { job, epoch: self.epoch() };
+            self.state_call("GET", target, Vec::new(), pending);
+        }
+    }
+
+    pub(crate) fn on_read_again(&mut self, job: String, outcome: Outcome) {
+        if let Ok(Some(pair)) = self.read_outcome(outcome) {
+            let status = decode::<JobRecord>(&pair.value).map(|r| r.status);
+            if status == Some(RecordedStatus::Aborted) {
+                self.learn_abort(&job, pair.stamp);
+            }
+        }
+    }
+
+    /// A task of an aborted job that is still on its machine after half its time: the
+    /// machine can't be told, and goes back to the cloud with all that is on it.
+    pub(crate) fn fence_aborted(&mut self) {
+        let now = self.now.steady_ms;
+        // A keeper stops what is cancelled among the machines that we don't hear.
+        if !self.member.keepers.is_empty() {
+            return;
+        }
+        let patience = self.cfg.horizon_ms() / 2;
+        let mut stuck = BTreeSet::new();
+        for (_, job) in self.jobs.iter() {
+            if job.state == JobState::Aborted && now > job.aborted_ms + patience {
+                for (_, t) in job.tasks() {
+                    stuck.extend(t.state.machine().map(|(m, _)| m));
+                    stuck.extend(t.probes.iter().filter(|p| p.unproven).map(|p| p.machine));
+                }
+            }
+        }
+        for ix in stuck {
+            if let Some(m) = self.machines.get(ix) {
+                tracing::info!(machine = %m.name, "holds a cancelled task and can't be told");
+            }
+            self.begin_return(ix);
+        }
+    }
+
     /// Memory forgets a job; its licences go with it.
     pub(crate) fn drop_job(&mut self, ix: JobIx) {
         let Some(job) = self.jobs.get(ix) else { return };
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -299,6 +299,50 @@
     }
 }
 
+/// Guards cancelled tasks on a machine that hangs: it can't be told, and its lease is
+/// not its own to end, so it goes back to the cloud.
+#[test]
+fn a_cancelled_task_on_a_hanging_machine_is_fenced() {
+    let mut w = World::new(3, 6, 0.0, 990);
+    w.run(500);
+    w.submit_surely(&job("wk-000001", Shape::Service, 1));
+    w.until(5_000, "it runs", |w| w.on("wk-000001").len() == 1);
+    let machine = w.on("wk-000001")[0].1.clone();
+    w.workers.get_mut(&machine).unwrap().hung_until = w.now + 120_000;
+    w.abort_surely("wk-000001");
+    let left = CANCEL_MS;
+    w.until(left, "the machine is gone", |w| !w.workers.contains_key(&machine));
+    w.keep_rules();
+}
+
+/// Guards the end of a job against what was read before it: a record read as live must
+/// not bring back a job whose abort was learned meanwhile.
+#[test]
+fn an_abort_past_the_leader_is_not_undone_by_an_older_read() {
+    for step in 0..12 {
+        let mut w = World::new(3, 4, 0.0, 1_050 + step);
+        w.max_delay = 40;
+        w.run(1_500);
+        let leader = w.leader().unwrap();
+        let others: Vec<usize> = (0..3).filter(|n| *n != leader).collect();
+        for n in &others {
+            w.cut(End::Node(leader), End::Node(*n), Cut::Drop);
+        }
+        w.run(4_000);
+        w.run_ms.insert("wk-000001".into(), 300_000);
+        w.submit(others[0], &job("wk-000001", Shape::Array, 3));
+        w.run(20 + step * 8);
+        let end = w.now + 10_000;
+        while w.now < end && w.told.get("wk-000001") != Some(&JobStatus::Aborted) {
+            w.abort(others[1], "wk-000001");
+            w.run(15);
+        }
+        w.run(CANCEL_MS + 3_000);
+        assert!(w.on("wk-000001").is_empty());
+        w.keep_rules();
+    }
+}
+
 /// Guards users when no leader can be reached: a follower records the job itself, and
 /// the next leader finds it.
 #[test]
