--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -1,6 +1,6 @@
 //! Machines rented and returned: by demand, price and what became of them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use quartzgate_wire::msg::{
     CloudStatus, HireRequest, JobSpec, MachineList, MachineNames, Rank, Shape,
@@ -36,7 +36,9 @@
     hiring: usize,
     asked: BTreeMap<(String, u16, bool), u32>,
     returning: Vec<MachineIx>,
-    seen: std::collections::BTreeSet<String>,
+    /// Names on the list that is being read, and on the last one read whole.
+    reading: BTreeSet<String>,
+    listed: Option<BTreeSet<String>>,
 }
 
 /// The cloud takes at most this many machines in one hire and one return.
@@ -60,7 +62,8 @@
             hiring: 0,
             asked: BTreeMap::new(),
             returning: Vec::new(),
-            seen: Default::default(),
+            reading: BTreeSet::new(),
+            listed: None,
         }
     }
 }
@@ -93,8 +96,11 @@
         self.call(Peer::Cloud, "GET", target, Vec::new(), 2000, Pending::List { since });
     }
 
-    pub(crate) fn on_list(&mut self, _since: Option<String>, outcome: Outcome) {
+    pub(crate) fn on_list(&mut self, since: Option<String>, outcome: Outcome) {
         self.cloud.listing = false;
+        if since.is_none() {
+            self.cloud.reading.clear();
+        }
         if !self.commands_workers() {
             return;
         }
@@ -108,7 +114,7 @@
         let last = list.machines.last().map(|m| m.name.clone());
         let mut failed = Vec::new();
         for l in list.machines {
-            self.cloud.seen.insert(l.name.clone());
+            self.cloud.reading.insert(l.name.clone());
             let known = self.machines.find(&l.name);
             // The list lags: what we have returned may still be on it.
             if known
@@ -175,8 +181,15 @@
             }
         }
         if list.more {
-            self.list_machines(last);
+            return self.list_machines(last);
         }
+        self.cloud.listed = Some(std::mem::take(&mut self.cloud.reading));
+    }
+
+    /// The last list that was read whole does not show it. The list lags, so this is
+    /// no proof, only a reason to ask for one.
+    pub(crate) fn unlisted(&self, name: &str) -> bool {
+        self.cloud.listed.as_ref().is_some_and(|l| !l.contains(name))
     }
 
     fn heard(&self, ix: MachineIx) -> bool {
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -719,7 +719,8 @@
 
     /// Sends back the odd machine that has fallen silent while the others are heard:
     /// the cloud's word that it is gone frees its tasks before its lease would. Where
-    /// many are silent the network is to blame, and they are left alone.
+    /// many are silent the network is to blame, and they are left alone, but for those
+    /// that the cloud no longer lists.
     pub(crate) fn return_silent(&mut self) {
         let now = self.now.steady_ms;
         let patience = self.cfg.lease_ms() / 2;
@@ -737,14 +738,12 @@
                 _ => {}
             }
         }
-        if silent.len() * 6 > heard + 6 || !self.member.keepers.is_empty() {
-            return;
-        }
+        let many = silent.len() * 6 > heard + 6 || !self.member.keepers.is_empty();
         for (ix, holds) in silent {
-            if holds {
-                if let Some(m) = self.machines.get(ix) {
-                    tracing::info!(machine = %m.name, "silent while others are heard");
-                }
+            let Some(m) = self.machines.get(ix) else { continue };
+            let unlisted = self.unlisted(&m.name);
+            if holds && (unlisted || !many) {
+                tracing::info!(machine = %m.name, unlisted, "silent while others are heard");
                 self.begin_return(ix);
             }
         }
