--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -156,11 +156,7 @@
         match self.verdict(&spec) {
             Verdict::Fits => {}
             // A known job is never refused: what stands decides.
-            Verdict::Never(_) | Verdict::Unknown => {
-                let job = spec.id.clone();
-                let pending = Pending::Known { request: id, spec: Box::new(spec) };
-                return self.read_job(id, &job, pending);
-            }
+            Verdict::Never(_) | Verdict::Unknown => return self.read_known(id, spec),
         }
         if !self.store.writes.take(now, 2.0, 0.0) {
             return self.answer_busy(id);
@@ -178,6 +174,13 @@
         self.state_call("POST", "/multi".into(), body, pending);
     }
 
+    /// Looks whether a job is known before it is refused.
+    fn read_known(&mut self, id: RequestId, spec: JobSpec) {
+        let job = spec.id.clone();
+        let pending = Pending::Known { request: id, spec: Box::new(spec) };
+        self.read_job(id, &job, pending);
+    }
+
     pub(crate) fn job_record(&self, spec: JobSpec) -> JobRecord {
         JobRecord {
             status: RecordedStatus::Live,
@@ -229,11 +232,7 @@
         }
         match self.verdict(&spec) {
             Verdict::Fits => {}
-            Verdict::Never(_) | Verdict::Unknown => {
-                let job = spec.id.clone();
-                let pending = Pending::Known { request: id, spec: Box::new(spec) };
-                return self.read_job(id, &job, pending);
-            }
+            Verdict::Never(_) | Verdict::Unknown => return self.read_known(id, spec),
         }
         let Some(team) = self.cfg.team(&spec.team) else { return self.answer_busy(id) };
         if !self.store.writes.take(now, 1.0, 0.0) {
--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -296,8 +296,7 @@
                 out.extend(self.unmet_spread(job, wanting, &mut free));
                 continue;
             }
-            let mut took = Vec::new();
-            for (at, (kind, zone, spot, room)) in free.iter_mut().enumerate() {
+            for (kind, zone, spot, room) in free.iter_mut() {
                 if wanting == 0 {
                     break;
                 }
@@ -307,7 +306,6 @@
                 let n = room.holds(&need).min(wanting);
                 room.add(&need, -f64::from(n));
                 wanting -= n;
-                took.push(at);
             }
             if wanting > 0 {
                 out.push(Unmet { spec: job.spec.clone(), tasks: wanting });
@@ -407,16 +405,8 @@
 
     /// Production tasks that would find no room, taken as a share of those running.
     fn warm_room(&self, free: &[(String, Option<u16>, bool, Room)]) -> Option<Unmet> {
-        let production = || {
-            self.jobs
-                .iter()
-                .map(|(_, j)| j)
-                .filter(|j| j.state == JobState::Live && j.spec.rank == Rank::Production)
-        };
-        let largest = production().max_by(|a, b| a.spec.cpus.total_cmp(&b.spec.cpus))?;
-        let running: f64 = production().map(|j| f64::from(j.on)).sum();
-        let wanted = (running * self.cfg.operator.warm_share).ceil() as u32;
-        let need = largest.room();
+        let (need, wanted) = self.warm_needed()?;
+        let largest = self.production().max_by(|a, b| a.spec.cpus.total_cmp(&b.spec.cpus))?;
         let have: u32 = free
             .iter()
             .filter(|(kind, zone, spot, _)| self.allows(&largest.spec, kind, *zone, *spot))
@@ -452,8 +442,7 @@
         let mut wants: BTreeMap<(String, u16, bool), f64> = BTreeMap::new();
         for u in self.unmet() {
             let need = Room { cpus: u.spec.cpus, gpus: u.spec.gpus, memory_gb: u.spec.memory_gb };
-            let mut left = f64::from(u.tasks);
-            // Room in machines that this round asks for already.
+            let left = f64::from(u.tasks);
             let mut best: Vec<(f64, (String, u16, bool), u32)> = Vec::new();
             for t in &self.types {
                 let all = Room { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb };
@@ -485,9 +474,7 @@
             if let Some((_, key, holds)) = best.into_iter().next() {
                 let machines = left / f64::from(holds);
                 *wants.entry(key).or_default() += machines;
-                left = 0.0;
             }
-            let _ = left;
         }
         for ((kind, zone, spot), machines) in wants {
             let count = (machines.ceil() as u32).min(HIRE_MOST);
@@ -629,15 +616,17 @@
         }
     }
 
+    fn production(&self) -> impl Iterator<Item = &Job> {
+        self.jobs
+            .iter()
+            .map(|(_, j)| j)
+            .filter(|j| j.state == JobState::Live && j.spec.rank == Rank::Production)
+    }
+
+    /// Room of the largest production task, and how many such to keep warm.
     fn warm_needed(&self) -> Option<(Room, u32)> {
-        let production = || {
-            self.jobs
-                .iter()
-                .map(|(_, j)| j)
-                .filter(|j| j.state == JobState::Live && j.spec.rank == Rank::Production)
-        };
-        let largest = production().max_by(|a, b| a.spec.cpus.total_cmp(&b.spec.cpus))?;
-        let running: f64 = production().map(|j| f64::from(j.on)).sum();
+        let largest = self.production().max_by(|a, b| a.spec.cpus.total_cmp(&b.spec.cpus))?;
+        let running: f64 = self.production().map(|j| f64::from(j.on)).sum();
         let wanted = (running * self.cfg.operator.warm_share).ceil() as u32;
         Some((largest.room(), wanted))
     }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -79,7 +79,7 @@
 ) -> Option<Pick> {
     let mut places: Vec<usize> = (0..queue.len()).collect();
     places.sort_by(|a, b| queue[*a].before(&queue[*b], order, cap));
-    for (at, &place) in places.iter().enumerate() {
+    for &place in &places {
         if fits(place) {
             let chosen = &queue[place];
             let passed = places
@@ -89,7 +89,6 @@
                 .filter(|&p| queue[p].class() == chosen.class())
                 .filter(|&p| queue[p].arrived < chosen.arrived)
                 .collect();
-            debug_assert!(at <= place || !places.is_empty());
             return Some(Pick { chosen: place, passed });
         }
         if queue[place].slack >= cap {
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -62,6 +62,26 @@
     }
 }
 
+/// Guards the view in every write: what the network held of an old owner's writes finds
+/// a later view when it is let go.
+#[test]
+fn late_writes_of_an_old_owner_fail() {
+    for step in 0..10 {
+        let mut w = World::new(3, 4, 0.0, 250 + step);
+        w.run(500);
+        w.run_ms.insert("wk-000001".into(), 900);
+        w.submit_surely(&job("wk-000001", Shape::Array, 40));
+        w.run(step * 130);
+        let old = w.leader().unwrap();
+        w.cut(End::Node(old), End::State, Cut::Hold);
+        w.until(20_000, "another leads", |w| w.leader().is_some_and(|l| l != old));
+        w.run(step * 3);
+        w.heal();
+        w.until_done("wk-000001", 120_000);
+        w.keep_rules();
+    }
+}
+
 /// Guards the horizon and the inheritance rule: an old owner that is cut from all but
 /// some workers keeps them alive for a while; the new owner starts nothing that may
 /// still be there, and by the horizon all of it is gone.
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -821,6 +821,7 @@
         if lost {
             return Response::new(400, Vec::new());
         }
+        self.check_epochs(&txn);
         if !txn.apply.is_empty() {
             self.state.rev += 1;
         }
@@ -843,6 +844,20 @@
         Response::new(200, body)
     }
 
+    /// No share is ever written by an owner of an earlier view.
+    fn check_epochs(&mut self, txn: &Transaction) {
+        use quartzgate_core::records::{ShareRecord, View, SHARES, VIEW};
+        let view = self.state.keys.get(VIEW).and_then(|(v, _, _)| v.deserialized::<View>().ok());
+        let epoch = view.map_or(0, |v| v.epoch);
+        for change in &txn.apply {
+            let Change::Set { set, value, .. } = change else { continue };
+            let share = value.deserialized::<ShareRecord>().ok();
+            if set.starts_with(SHARES) && share.is_some_and(|s| s.epoch < epoch) {
+                self.breaches.push(format!("{set} written by an owner of an earlier epoch"));
+            }
+        }
+    }
+
     fn expire_leases(&mut self) {
         let now = self.now;
         if self.state.down {
