--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -227,7 +227,11 @@
 
     fn submit(&mut self, id: RequestId, spec: JobSpec) {
         let now = self.now.steady_ms;
-        if self.jobs.find(&spec.id).is_some() {
+        if let Some(job) = self.jobs.find(&spec.id).and_then(|ix| self.jobs.get(ix)) {
+            // While the first submission is being recorded, a second can't be told more.
+            if job.state == JobState::Recording {
+                return self.answer_busy(id);
+            }
             return self.poll(id, spec.id);
         }
         match self.verdict(&spec) {
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -24,6 +24,20 @@
     w.keep_rules();
 }
 
+/// Guards a submission that comes twice at once: neither is told that the job is unknown.
+#[test]
+fn two_submissions_at_once_make_one_job() {
+    let mut w = World::new(3, 2, 0.0, 3);
+    w.run(1_500);
+    let leader = w.leader().unwrap();
+    let spec = job("wk-000001", Shape::Array, 1);
+    let asks: Vec<usize> = (0..4).map(|_| w.submit(leader, &spec)).collect();
+    w.run(500);
+    assert!(asks.iter().all(|a| [200, 201, 503].contains(&w.status(*a))));
+    w.until_done("wk-000001", 20_000);
+    w.keep_rules();
+}
+
 /// Guards repeats: a known job is 200 with its present state, ended or not, whichever
 /// node is asked, and a changed mind about its fitness never turns it into a refusal.
 #[test]
