--- a/crates/core/src/gang.rs
+++ b/crates/core/src/gang.rs
@@ -182,33 +182,24 @@
     /// A gang that has lost a task: those that run notice by themselves, those that
     /// wait for the others are told.
     fn break_gang(&mut self, ix: JobIx) {
-        let Some(job) = self.jobs.get(ix) else { return };
-        let waiting: Vec<(TaskKey, MachineIx, u64)> = job
-            .tasks()
-            .filter_map(|(n, t)| match t.state {
-                TaskState::On {
-                    machine,
-                    attempt,
-                    status: TaskStatus::Waiting | TaskStatus::Fetching,
-                    ..
-                } => Some((TaskKey { job: ix, task: n }, machine, attempt)),
-                _ => None,
-            })
-            .collect();
-        for (key, machine, attempt) in waiting {
-            self.task_to(key, TaskState::Stopping { machine, attempt, grace: false });
-            self.needs_orders.insert(machine);
-        }
+        let waits = |s| matches!(s, TaskStatus::Waiting | TaskStatus::Fetching);
+        self.stop_members(ix, false, waits);
     }
 
     /// Tells all of a gang to stop at once, so that its progress is saved.
     pub(crate) fn stop_gang(&mut self, ix: JobIx) {
         let Some(job) = self.jobs.get(ix) else { return };
         let grace = job.spec.checkpoint_s > 0.0;
+        self.stop_members(ix, grace, |_| true);
+    }
+
+    /// Tells those of a gang's tasks to stop whose status is as wanted.
+    fn stop_members(&mut self, ix: JobIx, grace: bool, wanted: impl Fn(TaskStatus) -> bool) {
+        let Some(job) = self.jobs.get(ix) else { return };
         let on: Vec<(TaskKey, MachineIx, u64)> = job
             .tasks()
             .filter_map(|(n, t)| match t.state {
-                TaskState::On { machine, attempt, .. } => {
+                TaskState::On { machine, attempt, status, .. } if wanted(status) => {
                     Some((TaskKey { job: ix, task: n }, machine, attempt))
                 }
                 _ => None,
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -389,16 +389,9 @@
 
     /// Reads a record whose stamp is no longer sure.
     fn restamp(&mut self, item: FlushItem) {
-        let path = match &item {
-            FlushItem::Chunk { job, chunk } => {
-                self.jobs.get(*job).map(|j| share_key(&j.id, *chunk))
-            }
-            FlushItem::End { job, .. } | FlushItem::Fold { job, .. } => {
-                self.jobs.get(*job).map(|j| job_key(&j.id))
-            }
-            FlushItem::Inbox(path) => return self.store.clear_inbox(path.clone()),
-        };
-        let Some(path) = path else { return };
+        if let FlushItem::Inbox(path) = &item {
+            return self.store.clear_inbox(path.clone());
+        }
         // Shares that an end removes are looked at as well.
         if let FlushItem::End { job, chunks } = &item {
             for &chunk in chunks {
@@ -413,6 +406,21 @@
                 c.busy = true;
             }
         }
+        self.read_stamp(item);
+    }
+
+    /// Asks for the record that an item would write, if its job is still in memory.
+    fn read_stamp(&mut self, item: FlushItem) {
+        let path = match &item {
+            FlushItem::Chunk { job, chunk } => {
+                self.jobs.get(*job).map(|j| share_key(&j.id, *chunk))
+            }
+            FlushItem::End { job, .. } | FlushItem::Fold { job, .. } => {
+                self.jobs.get(*job).map(|j| job_key(&j.id))
+            }
+            FlushItem::Inbox(_) => None,
+        };
+        let Some(path) = path else { return };
         let pending = Pending::Restamp { item, epoch: self.epoch() };
         self.state_call("GET", format!("/keys/{path}"), Vec::new(), pending);
     }
@@ -483,18 +491,7 @@
 
     pub(crate) fn retry_reads(&mut self) {
         for item in std::mem::take(&mut self.store_retry) {
-            let path = match &item {
-                FlushItem::Chunk { job, chunk } => {
-                    self.jobs.get(*job).map(|j| share_key(&j.id, *chunk))
-                }
-                FlushItem::End { job, .. } | FlushItem::Fold { job, .. } => {
-                    self.jobs.get(*job).map(|j| job_key(&j.id))
-                }
-                FlushItem::Inbox(_) => None,
-            };
-            let Some(path) = path else { continue };
-            let pending = Pending::Restamp { item, epoch: self.epoch() };
-            self.state_call("GET", format!("/keys/{path}"), Vec::new(), pending);
+            self.read_stamp(item);
         }
     }
 
