--- a/crates/core/src/restore.rs
+++ b/crates/core/src/restore.rs
@@ -11,8 +11,8 @@
 use crate::machines::{sane, MachineState};
 use crate::member::Role;
 use crate::records::{
-    decode, job_key, parse_share_key, JobRecord, RecordedStatus, ShareRecord, CHUNK, INBOX, JOBS,
-    SHARES,
+    decode, job_key, parse_share_key, share_key, JobRecord, RecordedStatus, ShareRecord, CHUNK,
+    INBOX, JOBS, SHARES,
 };
 use crate::{Outcome, Peer};
 
@@ -189,6 +189,11 @@
         if chunk >= job.chunk_count() || job.chunks.contains_key(&chunk) {
             return;
         }
+        // Folded into the job's record already: counted once, and cleared away.
+        if job.in_done_chunk(chunk * CHUNK) {
+            let path = share_key(&job.id, chunk);
+            return self.store.clear_inbox(path);
+        }
         let (len, zone_rule) = (job.chunk_len(chunk), job.spec.together);
         let mut fresh = self.new_chunk(len);
         (fresh.stamp, fresh.version, fresh.acked) = (stamp, 0, 0);
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -122,7 +122,13 @@
                 self.store.dirty.remove(&(ix, chunk));
                 continue;
             };
-            if c.busy || job.state == JobState::Recording || job.state == JobState::Unreadable {
+            // While the job's own record is under way its shares wait: a write that folds
+            // a share away or ends the job must not be followed by one that sets it anew.
+            if c.busy
+                || job.busy
+                || job.state == JobState::Recording
+                || job.state == JobState::Unreadable
+            {
                 continue;
             }
             let (path, stamp) = (share_key(&job.id, chunk), c.stamp);
@@ -440,18 +446,11 @@
         };
         match item {
             FlushItem::Chunk { job, chunk } => {
-                let stands = pair.is_none_or(|p| {
-                    let known = decode::<ShareRecord>(&p.value).is_some();
-                    if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
-                        c.stamp = p.stamp;
-                    }
-                    known
-                });
-                if !stands {
+                if pair.as_ref().is_some_and(|p| decode::<ShareRecord>(&p.value).is_none()) {
                     return self.unreadable(job);
                 }
                 if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
-                    c.busy = false;
+                    (c.busy, c.stamp) = (false, pair.map_or(0, |p| p.stamp));
                 }
                 self.mark_dirty(job, chunk);
             }
@@ -463,6 +462,10 @@
                 if let Some(j) = self.jobs.get_mut(job) {
                     (j.busy, j.stamp) = (false, pair.stamp);
                     j.done_chunks = record.done_chunks;
+                    // A fold that came to stand unseen has taken its share away.
+                    for (a, b) in &j.done_chunks {
+                        (*a..=*b).for_each(|c| drop(j.chunks.remove(&c)));
+                    }
                 }
                 match record.status {
                     RecordedStatus::Done => {
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -221,6 +221,30 @@
     }
 }
 
+/// Guards the fold of a chunk whose last ends are not on record yet: the write that
+/// folds it away must not set its share anew, or the next owner counts it twice and
+/// calls the job done with tasks still to run.
+#[test]
+fn a_folded_chunk_is_counted_once_by_the_next_owner() {
+    for step in 0..6 {
+        let mut w = World::new(3, 50, 0.0, 560 + step);
+        w.run(1_500);
+        w.run_ms.insert("wk-000001".into(), 3_000);
+        for late in 64..96 {
+            w.run_ms.insert(format!("wk-000001/{late}"), 20_000);
+        }
+        let spec = job("wk-000001", Shape::Array, 96);
+        w.submit_surely(&spec);
+        // The first chunk ends and is folded, the second runs on.
+        w.run(5_000 + step * 500);
+        (0..3).for_each(|n| w.kill_for(n, 1_000));
+        w.run(3_000);
+        w.submit_surely(&spec);
+        w.until_done("wk-000001", 90_000);
+        w.keep_rules();
+    }
+}
+
 /// Guards the abort that races a start: whatever order they come in, the task is gone
 /// in time and never starts again, and the answer stays.
 #[test]
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -148,6 +148,7 @@
     requests: HashMap<(usize, u32, u64), Asker>,
     next_request: u64,
     pub jobs: BTreeMap<String, JobSpec>,
+    /// How long tasks run, by the task's name or its job's.
     pub run_ms: BTreeMap<String, u64>,
     pub done: BTreeMap<String, BTreeSet<u32>>,
     pub aborted_at: BTreeMap<String, u64>,
@@ -1159,7 +1160,7 @@
         let run = match (finished, spec.shape) {
             (true, _) => 0,
             (_, Shape::Service) => u64::MAX / 2,
-            _ => self.run_ms.get(job_id).copied().unwrap_or(2_000),
+            _ => self.run_of(&task),
         };
         let w = self.workers.get_mut(name).unwrap();
         let used: f64 = w
@@ -1184,6 +1185,12 @@
         }
     }
 
+    /// How long a task runs.
+    fn run_of(&self, task: &str) -> u64 {
+        let job = task.rsplit_once('/').unwrap().0;
+        self.run_ms.get(task).or(self.run_ms.get(job)).copied().unwrap_or(2_000)
+    }
+
     fn expire_session(&mut self, name: &str) {
         let now = self.now;
         let w = self.workers.get_mut(name).unwrap();
@@ -1237,7 +1244,7 @@
                 let whole = peers == spec.tasks;
                 if held.status == TaskStatus::Waiting && whole {
                     next.status = TaskStatus::Running;
-                    next.ends_ms = now + self.run_ms.get(job_id).copied().unwrap_or(2_000);
+                    next.ends_ms = now + self.run_of(&t);
                 } else if held.status == TaskStatus::Running && !whole {
                     next.status = TaskStatus::Exited;
                     next.cause = Some(Cause::Peers);
