--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -244,6 +244,7 @@
         }
         let record = self.job_record(spec.clone());
         let (key, job_id) = (job_key(&spec.id), spec.id.clone());
+        let rank = spec.rank;
         let job = self.new_job(spec, team, JobState::Recording, 0, record.at_ms);
         let ix = self.jobs.insert(job);
         let mut apply =
@@ -254,7 +255,8 @@
         ];
         // The first deal goes with the acceptance if a write for it is left.
         if self.store.writes.take(now, 1.0, 0.0) {
-            if self.deal_job(ix) {
+            let full = self.backlog().full(rank);
+            if !full && self.deal_job(ix) {
                 if let Some(share) = self.share_record(ix, 0) {
                     let path = share_key(&job_id, 0);
                     apply.push(Change::Set {
--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -12,7 +12,7 @@
 use crate::controller::{Controller, Pending};
 use crate::ids::MachineIx;
 use crate::jobs::{Job, JobState, TaskState};
-use crate::machines::{MachineState, Room};
+use crate::machines::{Machine, MachineState, Room};
 use crate::{Outcome, Peer};
 
 /// A machine that was rented and has not reported yet.
@@ -599,20 +599,20 @@
             }
         }
         // Machines that are gone and that nothing refers to need no memory.
-        for ix in self.machines.indexes() {
-            let old = self.machines.get(ix).is_some_and(|m| {
-                m.state == MachineState::Gone
-                    && m.tasks.is_empty()
-                    && now > m.heard_ms.max(m.since_ms) + 20 * self.cfg.silence_ms()
-            });
-            let named = old
-                && self
-                    .jobs
-                    .iter()
-                    .any(|(_, j)| j.tasks().any(|(_, t)| t.probes.iter().any(|p| p.machine == ix)));
-            if old && !named {
-                self.machines.remove(ix);
+        let long_gone = |m: &Machine| {
+            m.state == MachineState::Gone
+                && m.tasks.is_empty()
+                && now > m.heard_ms.max(m.since_ms) + 20 * self.cfg.silence_ms()
+        };
+        let mut old: BTreeSet<MachineIx> =
+            self.machines.iter().filter(|(_, m)| long_gone(m)).map(|(ix, _)| ix).collect();
+        if !old.is_empty() {
+            for (_, t) in self.jobs.iter().flat_map(|(_, j)| j.tasks()) {
+                t.probes.iter().for_each(|p| {
+                    old.remove(&p.machine);
+                });
             }
+            old.into_iter().for_each(|ix| self.machines.remove(ix));
         }
     }
 
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -130,6 +130,8 @@
     pub(crate) reprobe_due: bool,
     pub(crate) drain_due: bool,
     pub(crate) preempt_due: bool,
+    reprobed_ms: u64,
+    preempted_ms: u64,
     pub(crate) supply_changed: bool,
     pub(crate) round_at_ms: u64,
     pub(crate) second_at_ms: u64,
@@ -173,6 +175,8 @@
             reprobe_due: false,
             drain_due: false,
             preempt_due: false,
+            reprobed_ms: 0,
+            preempted_ms: 0,
             supply_changed: false,
             round_at_ms: 0,
             second_at_ms: 0,
@@ -241,11 +245,16 @@
             self.deal_all();
             self.tick_gangs();
         }
-        if std::mem::take(&mut self.reprobe_due) {
+        let (now, pause) = (self.now.steady_ms, self.cfg.batch_ms());
+        // These two look at all that waits: once in a while is enough.
+        if self.reprobe_due && now >= self.reprobed_ms + pause {
+            self.reprobed_ms = now;
             self.reprobe();
         }
         self.dispatch_touched();
-        if std::mem::take(&mut self.preempt_due) {
+        if self.preempt_due && now >= self.preempted_ms + pause {
+            self.preempted_ms = now;
+            self.preempt_due = false;
             self.preempt();
         }
         for ix in std::mem::take(&mut self.needs_orders) {
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -3,6 +3,8 @@
 //! A task is dealt only while its team's dealt and not provably ended work stays
 //! within the team's limit, so the limit holds whatever is started later.
 
+use std::collections::BTreeMap;
+
 use rand::Rng;
 
 use quartzgate_wire::msg::{JobSpec, Rank, Shape};
@@ -18,6 +20,19 @@
 /// Tasks dealt in one go; the rest follow at the next event.
 const DEAL_AT_ONCE: u32 = 256;
 
+/// CPUs of waiting tasks by rank, and of all usable machines.
+pub(crate) struct Backlog {
+    waiting: BTreeMap<Rank, f64>,
+    all: f64,
+}
+
+impl Backlog {
+    /// Whether so much of this rank and above waits that more need not be dealt yet.
+    pub fn full(&self, rank: Rank) -> bool {
+        self.waiting.range(rank..).map(|(_, cpus)| cpus).sum::<f64>() > 2.0 * self.all
+    }
+}
+
 /// A machine as the deal sees it.
 struct Candidate {
     ix: MachineIx,
@@ -77,27 +92,28 @@
             return;
         }
         open.sort_by_key(|(rank, at, ix)| (std::cmp::Reverse(*rank), *at, *ix));
-        for (_, _, ix) in open {
-            self.deal_job(ix);
+        let mut backlog = self.backlog();
+        for (rank, _, ix) in open {
+            if !backlog.full(rank) && self.deal_job(ix) {
+                backlog = self.backlog();
+            }
         }
     }
 
     /// CPUs of tasks that wait in queues, against those of all usable machines.
-    fn backlog_full(&self, rank: Rank) -> bool {
-        let waiting: f64 = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| j.spec.rank >= rank)
-            .map(|(_, j)| f64::from(j.waiting) * j.spec.cpus)
-            .sum();
-        let all: f64 = self
+    pub(crate) fn backlog(&self) -> Backlog {
+        let mut waiting: BTreeMap<Rank, f64> = BTreeMap::new();
+        for (_, j) in self.jobs.iter().filter(|(_, j)| j.waiting > 0) {
+            *waiting.entry(j.spec.rank).or_default() += f64::from(j.waiting) * j.spec.cpus;
+        }
+        let all = self
             .machines
             .iter()
             .filter(|(_, m)| m.usable())
             .filter_map(|(_, m)| self.capacity_of(&m.kind))
             .map(|c| c.cpus)
             .sum();
-        waiting > 2.0 * all
+        Backlog { waiting, all }
     }
 
     fn candidates(&self, ix: JobIx) -> Vec<Candidate> {
@@ -116,7 +132,8 @@
                 let free =
                     if now < m.no_room_until_ms { Room::default() } else { all.minus(&m.used) };
                 let mut spare = free;
-                for key in &m.queue {
+                // What is full stays full, whatever its queue has spoken for.
+                for key in m.queue.iter().filter(|_| free.fits(&need)) {
                     let Some(j) = self.jobs.get(key.job) else { continue };
                     let probes = j.task(key.task).map_or(1, |t| t.probes.len()).max(1);
                     spare.add(&j.room(), -1.0 / probes as f64);
@@ -137,7 +154,7 @@
                     zone: m.zone,
                     free,
                     spare,
-                    wait_s: self.wait_of(mix),
+                    wait_s: m.wait_s,
                     image,
                     spot: m.spot,
                     used_share: m.used.cpus / all.cpus.max(1e-9),
@@ -176,8 +193,12 @@
             }
             scored.push((score, at));
         }
+        if count > 0 && count < scored.len() {
+            scored.select_nth_unstable_by(count - 1, |a, b| a.0.total_cmp(&b.0));
+            scored.truncate(count);
+        }
         scored.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let picks: Vec<usize> = scored.into_iter().take(count).map(|(_, at)| at).collect();
+        let picks: Vec<usize> = scored.into_iter().map(|(_, at)| at).collect();
         let part = 1.0 / picks.len().max(1) as f64;
         // The first is where it will most likely run.
         for (n, &at) in picks.iter().enumerate() {
@@ -223,7 +244,7 @@
             return false;
         }
         let (team, need, spec) = (job.team, job.room(), job.spec.clone());
-        if self.backlog_full(spec.rank) || !self.licence(team, &need) {
+        if !self.licence(team, &need) {
             return false;
         }
         let mut list = self.candidates(ix);
@@ -358,6 +379,7 @@
         let Some(job) = self.jobs.get_mut(key.job) else { return };
         let Some(c) = job.chunk_of(key.task) else { return };
         let version = c.version + 1;
+        c.pressing = true;
         let Some(task) = c.tasks.get_mut((key.task % CHUNK) as usize) else { return };
         let old = std::mem::take(&mut task.probes);
         task.zone = zone;
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use quartzgate_wire::msg::{Rank, Shape, TaskStatus};
+use quartzgate_wire::msg::{JobSpec, Rank, Shape, TaskStatus};
 
 use crate::controller::Controller;
 use crate::ids::{MachineIx, TaskKey};
@@ -32,8 +32,7 @@
 
 impl Controller {
     /// Constraints of a job, with the amount a task asks of each.
-    fn constraints(&self, job: &Job) -> Vec<(Constraint, f64)> {
-        let s = &job.spec;
+    fn constraints(s: &JobSpec) -> Vec<(Constraint, f64)> {
         let mut out = vec![(Constraint::Cpu, s.cpus), (Constraint::Memory, s.memory_gb)];
         if s.gpus > 0.0 {
             out.push((Constraint::Gpu, s.gpus));
@@ -50,12 +49,13 @@
         out
     }
 
-    /// Weighs tasks asking against machines offering, per constraint.
+    /// Weighs tasks asking against machines offering, per constraint, and estimates
+    /// every queue's wait.
     pub(crate) fn weigh(&mut self) {
         let mut demand: BTreeMap<Constraint, f64> = BTreeMap::new();
         for (_, job) in self.jobs.iter().filter(|(_, j)| j.state == JobState::Live) {
             let asking = job.spec.tasks - job.done;
-            for (c, amount) in self.constraints(job) {
+            for (c, amount) in Self::constraints(&job.spec) {
                 *demand.entry(c).or_default() += amount * f64::from(asking);
             }
         }
@@ -85,10 +85,22 @@
             .collect();
         let max = by_constraint.values().copied().fold(0.0, f64::max);
         self.ratios = Ratios { by_constraint, max };
+        for ix in self.jobs.indexes() {
+            let ratio = self.jobs.get(ix).map_or(0.0, |j| self.ratio_of(&j.spec));
+            if let Some(j) = self.jobs.get_mut(ix) {
+                j.ratio = ratio;
+            }
+        }
+        for ix in self.machines.indexes() {
+            let wait_s = self.wait_of(ix);
+            if let Some(m) = self.machines.get_mut(ix) {
+                m.wait_s = wait_s;
+            }
+        }
     }
 
-    fn ratio_of(&self, job: &Job) -> f64 {
-        self.constraints(job)
+    pub(crate) fn ratio_of(&self, spec: &JobSpec) -> f64 {
+        Self::constraints(spec)
             .iter()
             .filter_map(|(c, _)| self.ratios.by_constraint.get(c))
             .copied()
@@ -109,7 +121,7 @@
     }
 
     /// E\[W\] of a machine's queue.
-    pub(crate) fn wait_of(&self, ix: MachineIx) -> f64 {
+    fn wait_of(&self, ix: MachineIx) -> f64 {
         let Some(m) = self.machines.get(ix) else { return 0.0 };
         let Some(all) = self.capacity_of(&m.kind) else { return 0.0 };
         let share = |used: f64, all: f64| if all > 0.0 { used / all } else { 0.0 };
@@ -151,6 +163,10 @@
             if free.cpus < 1e-6 {
                 return;
             }
+            let fits = |k: &TaskKey| self.jobs.get(k.job).is_some_and(|j| free.fits(&j.room()));
+            if !m.queue.iter().any(fits) {
+                return;
+            }
             // Tasks that may be bound here at all.
             let mut keys: Vec<TaskKey> = Vec::with_capacity(m.queue.len());
             let mut standings: Vec<Standing> = Vec::with_capacity(m.queue.len());
@@ -174,7 +190,7 @@
             let order = QueueOrder::choose(
                 self.ratios.max,
                 operator.ratio_threshold,
-                self.wait_of(ix),
+                m.wait_s,
                 operator.wait_threshold_s,
             );
             let picked = pick(&standings, order, operator.slack_cap, |place| {
@@ -198,7 +214,7 @@
             rank: job.spec.rank,
             guaranteed: team.cpus > 0.0 && placed.cpus + job.spec.cpus <= team.cpus + 1e-6,
             remaining_s: self.remaining_s(job, task),
-            ratio: self.ratio_of(job),
+            ratio: job.ratio,
             slack: task.slack,
             arrived: task.arrived,
         }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -78,6 +78,8 @@
     pub dirty: bool,
     /// A write or a read of the record is under way.
     pub busy: bool,
+    /// Waiting tasks were given machines that the record does not name yet.
+    pub pressing: bool,
     /// Version of the newest record sent, and of the newest known to stand.
     pub version: u32,
     pub acked: u32,
@@ -124,6 +126,8 @@
     pub aborted_ms: u64,
     /// When its record was last read again.
     pub read_ms: u64,
+    /// Highest demand/supply ratio among its constraints, weighed each report round.
+    pub ratio: f64,
 }
 
 impl Job {
@@ -241,6 +245,7 @@
         stamp: u64,
         at_ms: u64,
     ) -> Job {
+        let ratio = self.ratio_of(&spec);
         Job {
             id: spec.id.clone(),
             spec,
@@ -259,6 +264,7 @@
             errors_on: Vec::new(),
             aborted_ms: self.now.steady_ms,
             read_ms: self.now.steady_ms,
+            ratio,
         }
     }
 
@@ -278,7 +284,7 @@
                 }
             })
             .collect();
-        Chunk { tasks, dirty: false, busy: false, version: 0, acked: 0, stamp: 0 }
+        Chunk { tasks, dirty: false, busy: false, pressing: false, version: 0, acked: 0, stamp: 0 }
     }
 
     /// The one function that changes a task's state. It keeps the machines' room,
@@ -385,6 +391,7 @@
         let fixed = job.spec.spread || job.spec.together;
         let c = job.chunks.get_mut(&chunk)?;
         c.version += 1;
+        c.pressing = false;
         let mut record = ShareRecord { epoch, ..Default::default() };
         let first = chunk * CHUNK;
         let mut names: BTreeMap<MachineIx, u32> = BTreeMap::new();
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -92,6 +92,8 @@
     pub recall_ms: Option<u64>,
     pub tasks: BTreeMap<TaskKey, u64>,
     pub queue: Vec<TaskKey>,
+    /// E\[W\] of the queue, estimated anew each report round.
+    pub wait_s: f64,
     /// Tasks that an earlier owner may have started here.
     pub unproven: Vec<TaskKey>,
     pub used: Room,
@@ -179,6 +181,7 @@
             recall_ms: None,
             tasks: BTreeMap::new(),
             queue: Vec::new(),
+            wait_s: 0.0,
             unproven: Vec::new(),
             used: Room::default(),
             idle_since_ms: now,
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -169,10 +169,7 @@
 
     /// A chunk with tasks that could start once it is written.
     fn pressing(&self, (job, chunk): (JobIx, u32)) -> bool {
-        let Some(c) = self.jobs.get(job).and_then(|j| j.chunks.get(&chunk)) else { return false };
-        c.tasks.iter().any(|t| {
-            t.state == TaskState::Waiting && t.probes.iter().any(|p| p.version > c.version)
-        })
+        self.jobs.get(job).and_then(|j| j.chunks.get(&chunk)).is_some_and(|c| c.pressing)
     }
 
     /// Ends of jobs whose tasks are all done, and of aborted ones that are gone.
@@ -192,11 +189,10 @@
             if job.busy || job.chunks.values().any(|c| c.busy) {
                 continue;
             }
-            let all_done = job.done >= job.spec.tasks;
-            let gone = job.tasks().all(|(_, t)| !t.state.licensed());
+            let gone = || job.tasks().all(|(_, t)| !t.state.licensed());
             let status = match job.state {
-                JobState::Live if all_done => RecordedStatus::Done,
-                JobState::Aborted if gone => RecordedStatus::Aborted,
+                JobState::Live if job.done >= job.spec.tasks => RecordedStatus::Done,
+                JobState::Aborted if gone() => RecordedStatus::Aborted,
                 JobState::Live => {
                     self.gather_fold(ix, txn, items, room);
                     continue;
--- a/crates/quartzgate/src/daemon.rs
+++ b/crates/quartzgate/src/daemon.rs
@@ -23,6 +23,8 @@
 
 /// How often time is told to the core.
 const TICK_MS: u64 = 25;
+/// How often connections are looked over for what has taken too long.
+const LOOK_MS: u64 = 100;
 /// Time for the rest of a request, or for an answer to be taken.
 const STALL_MS: u64 = 10_000;
 /// Idle inbound connections are closed after this.
@@ -139,12 +141,15 @@
 
     fn serve(&mut self) -> io::Result<()> {
         let mut events = Events::with_capacity(256);
-        let mut tick_ms = 0;
+        let (mut tick_ms, mut look_ms) = (0, 0);
         loop {
             let now = self.now_ms();
             if now >= tick_ms {
                 tick_ms = now + TICK_MS;
-                self.expire(now);
+                if now >= look_ms {
+                    look_ms = now + LOOK_MS;
+                    self.expire(now);
+                }
                 self.feed(Event::Tick);
             }
             let wait = tick_ms.saturating_sub(self.now_ms()).max(1);
