Spare worker connections make way when the share of sockets is used up

Seen in a count by state: 100-300 tasks 'starting' at all times beside 200 free places. Test: calls_to_more_peers_than_sockets_are_all_answered, seen to fail without either half.

--- a/crates/quartzgate/src/daemon.rs
+++ b/crates/quartzgate/src/daemon.rs
@@ -35,8 +35,8 @@
 const QUEUE_MOST: usize = 2_000;
 
 /// Shares of the socket limit: users and workers may hold so much, calls the rest.
-const INBOUND_SHARE: f64 = 0.75;
-const OUTBOUND_SHARE: f64 = 0.2;
+const INBOUND_SHARE: f64 = 0.6;
+const OUTBOUND_SHARE: f64 = 0.35;
 
 struct Waiting {
     call: Call,
@@ -63,6 +63,8 @@
     open: HashMap<Peer, usize>,
     queued: HashMap<Peer, VecDeque<Waiting>>,
     queued_total: usize,
+    /// Peers whose calls wait for room under the limit of all connections together.
+    starved: VecDeque<Peer>,
     requests: HashMap<RequestId, usize>,
     under_way: HashMap<CallId, UnderWay>,
     next_request: RequestId,
@@ -116,6 +118,7 @@
             open: HashMap::new(),
             queued: HashMap::new(),
             queued_total: 0,
+            starved: VecDeque::new(),
             requests: HashMap::new(),
             under_way: HashMap::new(),
             next_request: 1,
@@ -407,15 +410,17 @@
             self.send_on(n, w.call.id, request, w.deadline_ms);
             return;
         }
-        if self.open.get(&peer).copied().unwrap_or(0) >= self.most(&peer)
-            || self.outbound >= self.outbound_most
-        {
+        let at_most = self.open.get(&peer).copied().unwrap_or(0) >= self.most(&peer);
+        if at_most || self.outbound >= self.outbound_most && !self.close_spare() {
             if self.queued_total >= QUEUE_MOST {
                 let outcome = Outcome::NotSent;
                 self.events.push_back(Event::Outcome { call: w.call.id, outcome });
                 return;
             }
             self.queued_total += 1;
+            if !at_most {
+                self.starved.push_back(peer.clone());
+            }
             self.queued.entry(peer).or_default().push_back(w);
             return;
         }
@@ -423,6 +428,14 @@
         self.connect(peer, w.call.id, request, w.deadline_ms);
     }
 
+    /// Closes the outbound connection that has been spare longest, to make room for a
+    /// call to another peer; false if all are in use.
+    fn close_spare(&mut self) -> bool {
+        let spare = self.conns.iter().filter(|(_, c)| c.state == State::Idle);
+        let oldest = spare.min_by_key(|(_, c)| c.active_ms).map(|(n, _)| n);
+        oldest.map(|n| self.remove(n)).is_some()
+    }
+
     fn connect(&mut self, peer: Peer, call: CallId, request: Vec<u8>, deadline_ms: u64) {
         let now = self.now_ms();
         let stream = TcpStream::connect(self.address_of(&peer));
@@ -495,17 +508,31 @@
         }
     }
 
+    /// A connection has become free or has gone: the peer's own next call is placed,
+    /// or else one that waits for room among all connections.
     fn next_queued(&mut self, peer: &Peer) {
+        if self.place_queued(peer) {
+            return;
+        }
+        if let Some(other) = self.starved.pop_front() {
+            self.place_queued(&other);
+        }
+    }
+
+    /// Places the next call that waits for this peer; false if none does.
+    fn place_queued(&mut self, peer: &Peer) -> bool {
         let now = self.now_ms();
         while let Some(w) = self.queued.get_mut(peer).and_then(VecDeque::pop_front) {
             self.queued_total -= 1;
             if w.deadline_ms > now {
-                return self.place_call(w);
+                self.place_call(w);
+                return true;
             }
             let outcome = Outcome::NotSent;
             self.events.push_back(Event::Outcome { call: w.call.id, outcome });
         }
         self.queued.remove(peer);
+        false
     }
 
     /// A connection broke. A read sent on an old connection is sent once more.
@@ -541,7 +568,14 @@
     }
 
     fn close(&mut self, n: usize) {
-        let Some(mut conn) = self.conns.try_remove(n) else { return };
+        if let Some(peer) = self.remove(n) {
+            self.next_queued(&peer);
+        }
+    }
+
+    /// Takes a connection out of all tables; the peer, if it was outbound.
+    fn remove(&mut self, n: usize) -> Option<Peer> {
+        let mut conn = self.conns.try_remove(n)?;
         let _ = self.poll.registry().deregister(&mut conn.stream);
         match conn.side {
             Side::Inbound { .. } => {
@@ -549,6 +583,7 @@
                 if let State::Deciding(id) = conn.state {
                     self.requests.remove(&id);
                 }
+                None
             }
             Side::Outbound { peer } => {
                 self.outbound -= 1;
@@ -564,7 +599,7 @@
                         self.idle.remove(&peer);
                     }
                 }
-                self.next_queued(&peer);
+                Some(peer)
             }
         }
     }
@@ -615,3 +650,87 @@
         self.settle();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::{Read, Write};
+    use std::net::TcpListener;
+
+    use quartzgate_core::config::Operator;
+
+    use super::*;
+
+    fn config(max_sockets: u32) -> Config {
+        let platform = serde_json::json!({
+            "node": "n0", "domain": "a", "client_listen": "127.0.0.1:0",
+            "mesh_addr": "127.0.0.1:0", "siblings": [],
+            "outside": {"cloud": "127.0.0.1:1", "state": "127.0.0.1:1"},
+            "facts": {
+                "count": 1, "zones": ["a"], "teams": [], "objectives": [],
+                "workers": {"report_s": 1.0, "lease_s": 8.0, "gang_wait_s": 20.0,
+                            "gang_peer_s": 3.0, "cancel_s": 24.0},
+                "state": {"rps": 100.0, "write_rps": 10.0, "value_kb": 8.0, "txn_ops": 12},
+                "cloud": {"rps": 4.0, "list_lag_s": 2.0},
+                "resources": {"cpu_share": 0.1, "mem_mb": 64.0, "max_sockets": max_sockets},
+                "clock_off_ms": 100.0
+            }
+        });
+        let platform = serde_json::from_value(platform).unwrap();
+        Config { platform, operator: Operator::default() }
+    }
+
+    /// A worker that answers every request on one connection after another.
+    fn worker() -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let Ok(mut stream) = stream else { return };
+                let mut buf = [0; 4096];
+                while stream.read(&mut buf).is_ok_and(|n| n > 0) {
+                    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                }
+            }
+        });
+        addr
+    }
+
+    /// Guards calls to more peers than the socket share has room for: spare connections
+    /// make way and waiting calls are placed, instead of hanging until they are given up.
+    #[test]
+    fn calls_to_more_peers_than_sockets_are_all_answered() {
+        let mut daemon = Daemon::new(config(12)).unwrap();
+        let most = daemon.outbound_most;
+        let workers: Vec<SocketAddr> = (0..3 * most).map(|_| worker()).collect();
+        for round in 0..3 {
+            for (n, addr) in workers.iter().enumerate() {
+                daemon.start_call(Call {
+                    id: (round * workers.len() + n) as u64,
+                    peer: Peer::Worker(*addr),
+                    method: "POST",
+                    target: "/orders".into(),
+                    body: Vec::new(),
+                    timeout_ms: 3_600_000,
+                });
+            }
+            let mut answered = 0;
+            let mut events = Events::with_capacity(64);
+            while answered < workers.len() {
+                daemon.poll.poll(&mut events, Some(Duration::from_secs(20))).unwrap();
+                assert!(!events.is_empty(), "calls hang: {answered} answered in round {round}");
+                for event in &events {
+                    let n = event.token().0 - FIRST;
+                    daemon.on_ready(n, event.is_writable(), event.is_readable());
+                }
+                for event in daemon.events.drain(..) {
+                    let Event::Outcome { outcome: Outcome::Answer(r), .. } = event else {
+                        panic!("a call was not answered: {event:?}")
+                    };
+                    assert_eq!(r.status, 200);
+                    answered += 1;
+                }
+                assert!(daemon.outbound <= most);
+            }
+        }
+    }
+}
