Shortest remaining by job; what can still be in time goes ahead of what is late

Ruled out: free room (under 10 places), hires (all refused from 222 s on: no capacity). Queues now go by the work that a task's job still needs, and what can meet a deadline that its class has an aim for goes ahead of what can't; the slack cap holds over both. Test in queue.rs.

--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -82,18 +82,18 @@
 
     /// Deals what may be dealt, higher priority first, then in order of acceptance.
     pub(crate) fn deal_all(&mut self) {
-        let mut open: Vec<(Rank, u64, JobIx)> = self
+        let mut open: Vec<(Rank, u8, u64, JobIx)> = self
             .jobs
             .iter()
             .filter(|(_, j)| j.state == JobState::Live && j.next < j.spec.tasks)
-            .map(|(ix, j)| (j.spec.rank, j.at_ms, ix))
+            .map(|(ix, j)| (j.spec.rank, j.lost, j.at_ms, ix))
             .collect();
         if open.is_empty() {
             return;
         }
-        open.sort_by_key(|(rank, at, ix)| (std::cmp::Reverse(*rank), *at, *ix));
+        open.sort_by_key(|(rank, lost, at, ix)| (std::cmp::Reverse(*rank), *lost, *at, *ix));
         let mut backlog = self.backlog();
-        for (rank, _, ix) in open {
+        for (rank, _, _, ix) in open {
             if !backlog.full(rank) && self.deal_job(ix) {
                 backlog = self.backlog();
             }
@@ -427,7 +427,7 @@
     /// have room. Costs a write, so it happens once a round or when supply changes.
     pub(crate) fn reprobe(&mut self) {
         let now = self.now.steady_ms;
-        let mut waiting: Vec<(Rank, u64, TaskKey)> = Vec::new();
+        let mut waiting: Vec<(Rank, u8, f64, u64, TaskKey)> = Vec::new();
         for (ix, job) in self.jobs.iter() {
             let gang = job.spec.shape == Shape::Gang;
             if job.state != JobState::Live || job.waiting == 0 || gang {
@@ -435,13 +435,19 @@
             }
             for (n, t) in job.tasks() {
                 if t.state == TaskState::Waiting && t.not_before_ms <= now {
-                    waiting.push((job.spec.rank, t.arrived, TaskKey { job: ix, task: n }));
+                    let key = TaskKey { job: ix, task: n };
+                    let remaining_s = job.remaining_s();
+                    waiting.push((job.spec.rank, job.lost, remaining_s, t.arrived, key));
                 }
             }
         }
-        waiting.sort_by_key(|(rank, arrived, _)| (std::cmp::Reverse(*rank), *arrived));
+        // As the queues have it.
+        waiting.sort_by(|a, b| {
+            let standing = (b.0, a.1).cmp(&(a.0, b.1));
+            standing.then(a.2.total_cmp(&b.2)).then(a.3.cmp(&b.3))
+        });
         let mut last: Option<(JobIx, Vec<Candidate>)> = None;
-        for (_, _, key) in waiting.into_iter().take(DEAL_AT_ONCE as usize) {
+        for (_, _, _, _, key) in waiting.into_iter().take(DEAL_AT_ONCE as usize) {
             // A machine may have become usable since the task began to wait.
             self.enqueue(key);
             let Some(job) = self.jobs.get(key.job) else { continue };
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -86,9 +86,10 @@
         let max = by_constraint.values().copied().fold(0.0, f64::max);
         self.ratios = Ratios { by_constraint, max };
         for ix in self.jobs.indexes() {
-            let ratio = self.jobs.get(ix).map_or(0.0, |j| self.ratio_of(&j.spec));
+            let Some(job) = self.jobs.get(ix) else { continue };
+            let (ratio, lost) = (self.ratio_of(&job.spec), self.lost_deadlines(job));
             if let Some(j) = self.jobs.get_mut(ix) {
-                j.ratio = ratio;
+                (j.ratio, j.lost) = (ratio, lost);
             }
         }
         for ix in self.machines.indexes() {
@@ -99,6 +100,18 @@
         }
     }
 
+    /// How many of the deadlines that its class has aims for the job can't meet any
+    /// more, if what it waits for runs as long as its owner estimates.
+    fn lost_deadlines(&self, job: &Job) -> u8 {
+        let Some(deadline_s) = job.spec.deadline_s else { return 0 };
+        let age_s = self.now.wall_ms.saturating_sub(job.at_ms) as f64 / 1000.0;
+        let aims = self.cfg.platform.params.objectives.iter();
+        let aims = aims
+            .filter(|o| o.kind == "deadline" && o.class.as_deref() == Some(&job.spec.class))
+            .map(|o| o.times.unwrap_or(1.0) * deadline_s);
+        aims.filter(|due_s| age_s + job.spec.estimate_s > *due_s).count() as u8
+    }
+
     pub(crate) fn ratio_of(&self, spec: &JobSpec) -> f64 {
         Self::constraints(spec)
             .iter()
@@ -213,7 +226,9 @@
         Standing {
             rank: job.spec.rank,
             guaranteed: team.cpus > 0.0 && placed.cpus + job.spec.cpus <= team.cpus + 1e-6,
-            remaining_s: self.remaining_s(job, task),
+            lost: job.lost,
+            // What failed before is not short: it counts once more each time.
+            remaining_s: job.remaining_s() * f64::from(1 + task.failures.min(8)),
             ratio: job.ratio,
             slack: task.slack,
             arrived: task.arrived,
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -126,6 +126,8 @@
     pub aborted_ms: u64,
     /// When its record was last read again.
     pub read_ms: u64,
+    /// How many of its class's deadlines it has lost, looked at each report round.
+    pub lost: u8,
     /// Highest demand/supply ratio among its constraints, weighed each report round.
     pub ratio: f64,
 }
@@ -135,6 +137,11 @@
         Room { cpus: self.spec.cpus, gpus: self.spec.gpus, memory_gb: self.spec.memory_gb }
     }
 
+    /// Work that the job still needs, by its owner's estimate, in seconds.
+    pub fn remaining_s(&self) -> f64 {
+        f64::from(self.spec.tasks.saturating_sub(self.done)) * self.spec.estimate_s
+    }
+
     pub fn task(&self, task: u32) -> Option<&Task> {
         self.chunks.get(&(task / CHUNK))?.tasks.get((task % CHUNK) as usize)
     }
@@ -264,6 +271,7 @@
             errors_on: Vec::new(),
             aborted_ms: self.now.steady_ms,
             read_ms: self.now.steady_ms,
+            lost: 0,
             ratio,
         }
     }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -28,6 +28,9 @@
     pub rank: Rank,
     /// The task falls within its team's guarantee.
     pub guaranteed: bool,
+    /// Deadlines of its job that can't be met any more.
+    pub lost: u8,
+    /// Work that its job still needs.
     pub remaining_s: f64,
     /// Highest demand/supply ratio among the task's constraints.
     pub ratio: f64,
@@ -55,7 +58,8 @@
                     QueueOrder::ShortestFirst => shortest,
                     QueueOrder::ScarcityFirst => scarcest.then(shortest),
                 };
-                by.then(self.arrived.cmp(&other.arrived))
+                // What can still be in time goes ahead of what is late whatever is done.
+                self.lost.cmp(&other.lost).then(by).then(self.arrived.cmp(&other.arrived))
             }
         })
     }
@@ -103,7 +107,8 @@
     use super::*;
 
     fn probe(remaining_s: f64, ratio: f64, slack: u32, arrived: u64) -> Standing {
-        Standing { rank: Rank::Normal, guaranteed: false, remaining_s, ratio, slack, arrived }
+        let (rank, guaranteed, lost) = (Rank::Normal, false, 0);
+        Standing { rank, guaranteed, lost, remaining_s, ratio, slack, arrived }
     }
 
     /// Guards the switch to scarcity past both thresholds, and the way back.
@@ -144,6 +149,21 @@
         }
     }
 
+    /// Guards the deadlines that can still be met against work that is late already,
+    /// and the late work against being passed for ever.
+    #[test]
+    fn what_can_be_in_time_goes_ahead_of_what_is_late() {
+        let mut late = probe(1.0, 0.0, 0, 0);
+        late.lost = 1;
+        let queue = [late, probe(90.0, 0.0, 0, 1)];
+        for order in [QueueOrder::ShortestFirst, QueueOrder::ScarcityFirst] {
+            assert_eq!(pick(&queue, order, 5, |_| true).unwrap().chosen, 1);
+            let mut capped = queue;
+            capped[0].slack = 5;
+            assert_eq!(pick(&capped, order, 5, |_| true).unwrap().chosen, 0);
+        }
+    }
+
     /// Guards priority and guarantee, which stand above length and scarcity.
     #[test]
     fn priority_then_guarantee_come_first() {
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -71,6 +71,9 @@
     pub class: Option<String>,
     #[serde(default)]
     pub within_s: Option<f64>,
+    /// For deadlines: how many times the deadline the aim allows.
+    #[serde(default)]
+    pub times: Option<f64>,
     #[serde(default)]
     pub share: Option<f64>,
 }
