Idle spot machines stay in proportion to their price; spot-able work keeps to them

An idle machine now stays the longer the cheaper it is beside the ordinary price; work that may use spot room prefers a short fetch there to ordinary room.

--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -201,6 +201,15 @@
         (self.boot_ms(kind) as f64 * BOOT_PATIENCE) as u64 + self.cfg.lease_ms()
     }
 
+    /// How long a machine may be idle before it goes back: the longer, the less it
+    /// costs beside the ordinary price of its type.
+    fn idle_patience_ms(&self, kind: &str, spot: bool) -> f64 {
+        let stay_ms = (self.boot_ms(kind) as f64).max(MIN_CHARGE_S * 1000.0);
+        let t = self.types.iter().find(|t| t.name == kind && spot && t.spot_price > 0.0);
+        let cheaper = t.map_or(1.0, |t| (t.price / t.spot_price).max(1.0));
+        self.cfg.operator.idle_ratio * stay_ms * cheaper
+    }
+
     fn boot_ms(&self, kind: &str) -> u64 {
         let s = self.types.iter().find(|t| t.name == kind).map_or(60.0, |t| t.boot_s);
         (s * 1000.0) as u64
@@ -572,8 +581,7 @@
         let mut keep = self.warm_needed();
         for ix in self.machines.indexes() {
             let Some(m) = self.machines.get(ix) else { continue };
-            let patience = self.cfg.operator.idle_ratio
-                * (self.boot_ms(&m.kind) as f64).max(MIN_CHARGE_S * 1000.0);
+            let patience = self.idle_patience_ms(&m.kind, m.spot);
             let idle = m.state == MachineState::Ready
                 && m.tasks.is_empty()
                 && m.queue.is_empty()
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -182,7 +182,8 @@
                     (_, false) => 1.0,
                     (_, true) => 4.0,
                 };
-                score += if spec_spot && !c.spot { 0.5 } else { 0.0 };
+                // Ordinary room is dear: for what may do without, a short fetch is cheaper.
+                score += if spec_spot && !c.spot { 2.0 } else { 0.0 };
                 score += 0.4 * (1.0 - c.used_share);
             } else if c.yields.fits(need) {
                 score += 3.0 + if c.image { 0.0 } else { 2.0 };
