--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -16,6 +16,7 @@
 use crate::keeper::Keeper;
 use crate::machines::{Machines, Room};
 use crate::member::{Member, Role};
+use crate::post::PostBox;
 use crate::records::RecordedStatus;
 use crate::restore::Restore;
 use crate::store::{FlushItem, Store};
@@ -29,6 +30,8 @@
     MemberKey,
     KeepClaim { epoch: u64, permit: u64 },
     KeepRead { job: String, sent_ms: u64 },
+    Post { ids: Vec<u64> },
+    HandedOn { sibling: usize, id: u64 },
     ReadAgain { job: String, epoch: u64 },
     ControlRead,
     ControlWatch { sent_ms: u64 },
@@ -110,6 +113,7 @@
     pub(crate) member: Member,
     pub(crate) finals: Finals,
     pub(crate) keeper: Keeper,
+    pub(crate) post: PostBox,
     pub(crate) types: Vec<MachineType>,
     pub(crate) types_at_ms: Option<u64>,
     pub(crate) types_asked_ms: u64,
@@ -156,6 +160,7 @@
             member,
             finals: Finals::default(),
             keeper: Keeper::new(),
+            post: PostBox::default(),
             types: Vec::new(),
             types_at_ms: None,
             types_asked_ms: 0,
@@ -207,6 +212,7 @@
         self.tick_types();
         self.tick_keeper();
         self.tick_restore();
+        self.tick_post();
         if !self.leads() {
             return;
         }
@@ -271,6 +277,8 @@
             Pending::MemberKey => {}
             Pending::KeepClaim { epoch, permit } => self.on_keep_claim(epoch, permit, outcome),
             Pending::KeepRead { job, sent_ms } => self.on_keep_read(job, sent_ms, outcome),
+            Pending::Post { ids } => self.on_post_written(ids, outcome),
+            Pending::HandedOn { sibling, id } => self.on_handed_on(sibling, id, outcome),
             Pending::ControlRead => self.on_control_read(outcome),
             Pending::ControlWatch { sent_ms } => self.on_control_watch(sent_ms, outcome),
             Pending::Elect { epoch } => self.on_elect(epoch, outcome),
@@ -390,6 +398,7 @@
         self.attempts = 0;
         self.store_retry.clear();
         self.inbox_again.clear();
+        self.clear_post();
     }
 
     pub(crate) fn touch_all(&mut self) {
--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -87,7 +87,8 @@
                     tracing::info!(epoch, "keeping workers that can't reach the leader")
                 }
                 Claim::None if matches!(self.keeper.claim, Claim::Standing { .. }) => {
-                    self.keeper.jobs.clear()
+                    self.keeper.jobs.clear();
+                    self.clear_post()
                 }
                 _ => {}
             }
@@ -128,6 +129,10 @@
         let Some(epoch) = self.proven_view_epoch() else { return Verdict::No };
         // Nothing to keep: it was never commanded, or by one that we know nothing of.
         if report.token == 0 || epoch_of(report.token) > epoch {
+            // The leader may take a new machine on all the same.
+            if report.token == 0 && self.keeper.claim == (Claim::Standing { epoch }) {
+                self.post_report(report);
+            }
             return Verdict::No;
         }
         if !self.leader_out_of_reach() {
@@ -173,6 +178,7 @@
         }
         let body = to_cbor(&ReportAnswer { token: report.token, orders });
         self.answer(id, Response::new(200, body));
+        self.post_report(report);
         Verdict::Kept
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 mod keeper;
 mod machines;
 mod member;
+mod post;
 pub mod queue;
 pub mod records;
 mod restore;
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -100,6 +100,10 @@
     pub idle_since_ms: u64,
     /// Starts bound here and not sent yet.
     pub outbox: Vec<(TaskKey, u64)>,
+    /// The last call to it was not answered.
+    pub cut: bool,
+    /// The keeper that posts its reports, by its place in the settings.
+    pub via: Option<usize>,
     /// A call with orders is under way.
     pub calling: bool,
     pub reported: Vec<ReportTask>,
@@ -186,6 +190,8 @@
             used: Room::default(),
             idle_since_ms: now,
             outbox: Vec::new(),
+            cut: false,
+            via: None,
             calling: false,
             reported: Vec::new(),
             fresh_session: false,
@@ -297,6 +303,7 @@
         let orders = self.standing_orders(ix);
         let Some(m) = self.machines.get_mut(ix) else { return };
         m.answered_ms = Some(now);
+        (m.cut, m.via) = (false, None);
         let body = to_cbor(&ReportAnswer { token: m.token, orders });
         self.answer(id, Response::new(200, body));
     }
@@ -653,11 +660,14 @@
                 self.task_off(*key);
             }
         }
-        let body = to_cbor(&OrdersRequest { token, tenure, orders });
-        let timeout = self.cfg.worker_timeout_ms();
+        let request = OrdersRequest { token, tenure, orders };
         if let Some(m) = self.machines.get_mut(ix) {
             m.calling = true;
         }
+        if let Some(at) = self.post_route(ix) {
+            return self.post_orders(at, ix, addr.to_string(), request, starts);
+        }
+        let (body, timeout) = (to_cbor(&request), self.cfg.worker_timeout_ms());
         let pending = Pending::Orders { machine: ix, token, starts };
         self.call(Peer::Worker(addr), "POST", "/orders".into(), body, timeout, pending);
     }
@@ -672,6 +682,7 @@
         let epoch = self.epoch();
         let Some(m) = self.machines.get_mut(ix) else { return };
         m.calling = false;
+        m.cut = !matches!(outcome, Outcome::Answer(_)) || m.cut && m.via.is_some();
         match outcome {
             Outcome::Answer(r) if r.status == 200 || r.status == 409 => {
                 match from_cbor::<Report>(&r.body) {
@@ -767,6 +778,7 @@
                     && !m.calling
             })
             .map(|(ix, _)| ix)
+            .filter(|ix| self.post_route(*ix).is_none())
             .collect();
         for ix in due {
             self.inspect(ix);
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -160,11 +160,15 @@
         hint.or(self.member.leader.as_ref().map(|(l, _)| l))
     }
 
+    /// The sibling that leads.
+    pub(crate) fn leader_place(&self) -> Option<usize> {
+        let leader = self.present_leader()?;
+        self.cfg.platform.siblings.iter().position(|s| s.node == leader.node)
+    }
+
     /// The sibling that leads, if it has been heard lately.
     pub(crate) fn leader_sibling(&self) -> Option<usize> {
-        let leader = self.present_leader()?;
-        let at = self.cfg.platform.siblings.iter().position(|s| s.node == leader.node)?;
-        self.sibling_alive(at).then_some(at)
+        self.leader_place().filter(|at| self.sibling_alive(*at))
     }
 
     /// A sibling that has been heard within a beat or two and has the state service.
@@ -539,6 +543,8 @@
                     path => {
                         if let Some(node) = path.strip_prefix(KEEPERS) {
                             self.see_keeper(node, Some(change.stamp));
+                        } else {
+                            self.on_post(path, value);
                         }
                     }
                 }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -6,6 +6,7 @@
 //! | `view` | the present epoch and its members |
 //! | `view/leader` | who leads, on its lease |
 //! | `view/keeper/<node>` | a controller that keeps workers for the leader, on its lease |
+//! | `view/post/<to>/<from>` | what one controller has to tell another past a cut, on its lease |
 //! | `jobs/<ref>` | the spec, then how it ended |
 //! | `shares/<ref>/<part>/<chunk>` | tasks dealt to a part, probes, ends |
 //! | `inbox/<ref>` | a job or abort recorded past the leader, for it to look at |
@@ -19,6 +20,8 @@
 /// Claims of controllers that keep workers alive for the leader; under the prefix of
 /// the view, so that whoever watches the view sees them.
 pub const KEEPERS: &str = "view/keeper/";
+/// What a leader and a keeper tell one another past a cut; see `post.rs`.
+pub const POST: &str = "view/post/";
 pub const JOBS: &str = "jobs/";
 pub const SHARES: &str = "shares/";
 pub const INBOX: &str = "inbox/";
@@ -36,6 +39,10 @@
     format!("{INBOX}{id}")
 }
 
+pub fn post_key(to: &str, from: &str) -> String {
+    format!("{POST}{to}/{from}")
+}
+
 pub fn member_key(node: &str) -> String {
     format!("members/{node}")
 }
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -333,6 +333,49 @@
     w.keep_rules();
 }
 
+/// Leaves the leader alone with the machines of zone a, the others with those of zone b.
+fn part_zones(w: &mut World, leader: usize) {
+    let zones: Vec<(String, String)> =
+        w.workers.iter().map(|(n, x)| (n.clone(), x.zone.clone())).collect();
+    for n in 0..3 {
+        let far = if n == leader { "b" } else { "a" };
+        if n != leader {
+            w.cut(End::Node(leader), End::Node(n), Cut::Drop);
+        }
+        for (m, _) in zones.iter().filter(|(_, z)| z == far) {
+            w.cut(End::Node(n), End::Worker(m.clone()), Cut::Drop);
+        }
+    }
+}
+
+/// Guards work for machines that the leader can't reach: while two zones are apart,
+/// orders and reports pass by the state service, new work runs in both, an abort ends
+/// it in both, and nothing runs twice.
+#[test]
+fn new_work_runs_in_both_zones_while_they_are_apart() {
+    for seed in 0..6 {
+        let mut w = World::new(3, 6, 0.0, 980 + seed);
+        w.run(2_000);
+        let leader = w.leader().unwrap();
+        w.run_ms.insert("wk-000001".into(), 4_000);
+        w.run_ms.insert("wk-000002".into(), 600_000);
+        w.submit_surely(&job("wk-000001", Shape::Array, 12));
+        w.until(6_000, "all run", |w| w.on("wk-000001").len() == 12);
+        part_zones(&mut w, leader);
+        w.submit_surely(&job("wk-000002", Shape::Array, 12));
+        w.until(25_000, "all run in both zones", |w| w.on("wk-000002").len() == 12);
+        w.until_done("wk-000001", 10_000);
+        if seed % 2 == 0 {
+            w.abort_surely("wk-000002");
+            w.run(CANCEL_MS);
+            assert!(w.on("wk-000002").is_empty());
+        }
+        w.heal();
+        w.run(20_000);
+        w.keep_rules();
+    }
+}
+
 /// Guards keeping: while two zones are apart, what runs in the leader's far zone runs
 /// on, an abort still ends it in time, and nothing runs twice afterwards.
 #[test]
@@ -345,17 +388,7 @@
         w.submit_surely(&job("wk-000001", Shape::Service, 4));
         w.submit_surely(&job("wk-000002", Shape::Service, 8));
         w.until(8_000, "all run", |w| w.on("wk-000001").len() + w.on("wk-000002").len() == 12);
-        let zones: Vec<(String, String)> =
-            w.workers.iter().map(|(n, x)| (n.clone(), x.zone.clone())).collect();
-        for n in 0..3 {
-            let far = if n == leader { "b" } else { "a" };
-            if n != leader {
-                w.cut(End::Node(leader), End::Node(n), Cut::Drop);
-            }
-            for (m, _) in zones.iter().filter(|(_, z)| z == far) {
-                w.cut(End::Node(n), End::Worker(m.clone()), Cut::Drop);
-            }
-        }
+        part_zones(&mut w, leader);
         let starts: usize = w.starts.values().map(Vec::len).sum();
         w.run(10_000);
         w.abort_surely("wk-000002");
