A user's request is passed on for 0.4 s at most, not to a leader that missed a beat

Cause: when the leader dies or loses the state service, a submission passed on to it waited a second before the records were asked, and so was late by itself (aim: within a second). Ruled out: the write budget of followers, refused writes (none in the logs). What is left stands on outages, and on users of a leader that is refused itself.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -84,7 +84,9 @@
         if self.leads() {
             return self.decide(id, work);
         }
-        let target = if passed_on { None } else { self.leader_sibling() };
+        // A leader that has missed its beat would keep the user waiting.
+        let leader = self.leader_sibling().filter(|_| !self.leader_missed());
+        let target = if passed_on { None } else { leader };
         match target {
             Some(at) => self.pass_on(id, at, work),
             None => self.decide_alone(id, work, passed_on),
@@ -100,7 +102,7 @@
         };
         message.forward = Some(Forward { method: method.into(), path, body });
         let body = to_cbor(&message);
-        let timeout = self.cfg.mesh_timeout_ms();
+        let timeout = self.cfg.pass_on_ms();
         let pending = Pending::Forward { request: id, sibling: at, work: Box::new(work) };
         self.call(Peer::Sibling(at), "POST", "/mesh".into(), body, timeout, pending);
     }
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -150,6 +150,12 @@
         1_000
     }
 
+    /// Time for a sibling to decide a user's request: what is left must do to decide
+    /// it here, by the records.
+    pub fn pass_on_ms(&self) -> u64 {
+        self.mesh_timeout_ms() * 2 / 5
+    }
+
     /// Longest time for which recorded ends of tasks are gathered into one write.
     pub fn batch_ms(&self) -> u64 {
         self.report_ms() / 10
