--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -101,6 +101,8 @@
     pub licensed: Room,
     /// On machines.
     pub placed: Room,
+    /// Perhaps on machines: not proven free yet.
+    pub unproven: Room,
 }
 
 pub struct Controller {
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -74,10 +74,23 @@
 
     /// Whether one more task may be dealt to the team.
     pub(crate) fn licence(&self, team: usize, room: &Room) -> bool {
+        self.within_limit(team, self.teams[team].licensed, room)
+    }
+
+    /// Whether the team may have one more task on machines, taking for granted that all
+    /// that may be there is. The records can hold more licences than the limit, after a
+    /// deal that came to stand unseen, so that this is asked again before every start.
+    pub(crate) fn may_start(&self, team: usize, room: &Room) -> bool {
+        let mut there = self.teams[team].placed;
+        there.add(&self.teams[team].unproven, 1.0);
+        self.within_limit(team, there, room)
+    }
+
+    fn within_limit(&self, team: usize, used: Room, more: &Room) -> bool {
         let limit = &self.cfg.platform.params.teams[team];
-        let used = &self.teams[team].licensed;
-        let within = |used: f64, more: f64, max: f64| max <= 0.0 || used + more <= max + 1e-6;
-        within(used.cpus, room.cpus, limit.cpus_max) && within(used.gpus, room.gpus, limit.gpus_max)
+        let within = |used: f64, max: f64| max <= 0.0 || used <= max + 1e-6;
+        within(used.cpus + more.cpus, limit.cpus_max)
+            && within(used.gpus + more.gpus, limit.gpus_max)
     }
 
     /// Deals what may be dealt, higher priority first, then in order of acceptance.
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -242,6 +242,7 @@
         job.state == JobState::Live
             && task.state == TaskState::Waiting
             && task.not_before_ms <= self.now.steady_ms
+            && self.may_start(job.team, &job.room())
             && task.probes.iter().all(|p| !p.unproven)
             && task.probes.iter().any(|p| p.machine == ix && p.version <= chunk.acked)
             && self.machines.get(ix).is_some_and(|m| {
--- a/crates/core/src/gang.rs
+++ b/crates/core/src/gang.rs
@@ -172,6 +172,11 @@
         if !fits || places.len() as u32 != job.spec.tasks {
             return false;
         }
+        let mut all = Room::default();
+        all.add(&need, places.len() as f64);
+        if !self.may_start(job.team, &all) {
+            return true;
+        }
         let attempt = self.next_attempt();
         for (key, machine) in places {
             self.bind_as(key, machine, attempt);
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -310,6 +310,11 @@
         let waits = |s: &TaskState| matches!(s, TaskState::Waiting);
         let on = |s: &TaskState| matches!(s, TaskState::On { .. } | TaskState::Stopping { .. });
         let done = |s: &TaskState| matches!(s, TaskState::Done { .. });
+        let unproven = |s: &TaskState| matches!(s, TaskState::Unproven);
+        if unproven(&old) != unproven(&state) {
+            let sign = if unproven(&state) { 1.0 } else { -1.0 };
+            self.teams[team].unproven.add(&room, sign);
+        }
         job.waiting = job.waiting + u32::from(waits(&state)) - u32::from(waits(&old));
         job.on = job.on + u32::from(on(&state)) - u32::from(on(&old));
         job.done = job.done + u32::from(done(&state)) - u32::from(done(&old));
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -737,7 +737,7 @@
     /// that the cloud no longer lists.
     pub(crate) fn return_silent(&mut self) {
         let now = self.now.steady_ms;
-        let patience = self.cfg.lease_ms() / 2;
+        let patience = self.cfg.lease_ms() / 3;
         let (mut silent, mut heard) = (Vec::new(), 0);
         for (ix, m) in self.machines.iter() {
             let since = m.heard_ms.max(m.since_ms).max(self.epoch_began_ms);
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -283,6 +283,33 @@
     }
 }
 
+/// Guards the team's limit against a deal that came to stand unseen: its answer was
+/// lost, the owner dealt anew, and the next owner finds more licences on record than
+/// the team may use.
+#[test]
+fn quota_holds_when_the_records_hold_more_than_the_limit() {
+    for seed in 0..6 {
+        let mut w = World::new(3, 4, 16.0, 860 + seed);
+        w.run(2_000);
+        let leader = w.leader().unwrap();
+        w.state.swallow_answers = 1;
+        for id in ["wk-000001", "wk-000002"] {
+            w.run_ms.insert(id.into(), 6_000);
+        }
+        let unseen = job("wk-000001", Shape::Array, 4);
+        w.submit(leader, &unseen);
+        w.run(1_200);
+        w.submit_surely(&job("wk-000002", Shape::Array, 4));
+        w.until(8_000, "the second runs", |w| w.on("wk-000002").len() == 4);
+        (0..3).for_each(|n| w.kill_for(n, 1_000));
+        w.run(2_000);
+        w.submit_surely(&unseen);
+        w.until_done("wk-000001", 60_000);
+        w.until_done("wk-000002", 60_000);
+        w.keep_rules();
+    }
+}
+
 /// Guards the team's limit across a takeover: tasks on machines that the new owner
 /// can't reach count until they are provably gone.
 #[test]
