An owner back from a cut never takes the next one's token from a report

Cause: answers to inspections were not looked at for a later epoch, and observe() raised the machine's token to the next owner's; an inbox watch alone renewed the horizon. Ruled out: held orders, posted orders. Keepers now also raise the tokens that they answer with. Story: a_replaced_owner_never_takes_the_next_ones_token, seen to fail without the guard.

--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -14,7 +14,7 @@
 use quartzgate_wire::{from_cbor, to_cbor};
 
 use crate::controller::{Controller, Pending};
-use crate::ids::{epoch_of, parse_task};
+use crate::ids::{epoch_of, in_epoch, parse_task};
 use crate::member::Role;
 use crate::records::{decode, encode, job_key, JobRecord, RecordedStatus, KEEPERS, VIEW};
 use crate::{Outcome, RequestId};
@@ -42,6 +42,8 @@
     retry_ms: u64,
     used_ms: u64,
     jobs: BTreeMap<String, Known>,
+    /// When each kept machine's token was last raised.
+    raised: BTreeMap<String, u64>,
     /// Reports that wait for the claim or for a read, and until when.
     parked: Vec<(RequestId, Report, u64)>,
 }
@@ -57,6 +59,8 @@
     No,
 }
 
+/// A keeper raises a token by more than the leader does meanwhile.
+const TOKEN_STEP: u64 = 1 << 8;
 /// Reports that may wait at a time.
 const PARKED_MOST: usize = 200;
 /// Jobs that a keeper looks after at most.
@@ -69,6 +73,7 @@
             retry_ms: 0,
             used_ms: 0,
             jobs: BTreeMap::new(),
+            raised: BTreeMap::new(),
             parked: Vec::new(),
         }
     }
@@ -88,6 +93,7 @@
                 }
                 Claim::None if matches!(self.keeper.claim, Claim::Standing { .. }) => {
                     self.keeper.jobs.clear();
+                    self.keeper.raised.clear();
                     self.clear_post()
                 }
                 _ => {}
@@ -176,12 +182,28 @@
         if !proven || !claimed {
             return Verdict::Soon;
         }
-        let body = to_cbor(&ReportAnswer { token: report.token, orders });
+        let token = self.kept_token(report, epoch);
+        let body = to_cbor(&ReportAnswer { token, orders });
         self.answer(id, Response::new(200, body));
         self.post_report(report);
         Verdict::Kept
     }
 
+    /// The token that a kept worker is answered with. It is raised now and then, and so
+    /// orders that are still on their way, the leader's or an earlier one's, match no
+    /// longer when a cut lets them go: their tasks may have been cancelled meanwhile.
+    fn kept_token(&mut self, report: &Report, epoch: u64) -> u64 {
+        let now = self.now.steady_ms;
+        let token = report.token.max(in_epoch(epoch, 0));
+        let raised = self.keeper.raised.get(&report.machine);
+        let due = raised.is_none_or(|at| now >= at + self.cfg.horizon_ms() / 3);
+        if !due || epoch_of(token + TOKEN_STEP) != epoch {
+            return token;
+        }
+        self.keeper.raised.insert(report.machine.clone(), now);
+        token + TOKEN_STEP
+    }
+
     fn ask_job(&mut self, job: String) {
         let now = self.now.steady_ms;
         if self.keeper.jobs.len() >= JOBS_MOST || !self.may_read() {
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -369,6 +369,12 @@
     /// Takes in a report, whether it came by itself or as the answer to orders.
     /// An older one than the newest known says nothing.
     pub(crate) fn observe(&mut self, ix: MachineIx, report: Report) {
+        // Whatever way it came, such a report says that another leads. Its token must
+        // never become ours: orders that bear it would be obeyed.
+        if epoch_of(report.token) > self.epoch() {
+            tracing::info!(machine = %report.machine, "superseded: a worker has seen a later epoch");
+            return self.superseded();
+        }
         let now = self.now.steady_ms;
         let zone = self.zone_ix(&report.zone);
         let Some(m) = self.machines.get_mut(ix) else { return };
@@ -679,7 +685,6 @@
         starts: Vec<(TaskKey, u64)>,
         outcome: Outcome,
     ) {
-        let epoch = self.epoch();
         let Some(m) = self.machines.get_mut(ix) else { return };
         m.calling = false;
         m.cut = !matches!(outcome, Outcome::Answer(_)) || m.cut && m.via.is_some();
@@ -687,10 +692,6 @@
             Outcome::Answer(r) if r.status == 200 || r.status == 409 => {
                 match from_cbor::<Report>(&r.body) {
                     Ok(report) if sane(&report) && report.machine == m.name => {
-                        if epoch_of(report.token) > epoch {
-                            tracing::info!(machine = %report.machine, "superseded: orders refused");
-                            return self.superseded();
-                        }
                         self.observe(ix, report)
                     }
                     _ => self.raise_token(ix, token),
@@ -737,22 +738,23 @@
     /// that the cloud no longer lists.
     pub(crate) fn return_silent(&mut self) {
         let now = self.now.steady_ms;
-        let patience = self.cfg.lease_ms() / 3;
+        // Workers need a while to find a new leader; one that we have heard is asked
+        // for its report before this.
+        let (patience, at_first) = (self.cfg.lease_ms() / 3, self.cfg.lease_ms() * 3 / 4);
         let (mut silent, mut heard) = (Vec::new(), 0);
         for (ix, m) in self.machines.iter() {
             let since = m.heard_ms.max(m.since_ms).max(self.epoch_began_ms);
             let holds = !m.tasks.is_empty() || !m.unproven.is_empty();
             match m.state {
-                MachineState::Ready | MachineState::Greeted | MachineState::Unheard
-                    if now > since + patience =>
-                {
+                MachineState::Ready if now > since + patience => silent.push((ix, holds)),
+                MachineState::Greeted | MachineState::Unheard if now > since + at_first => {
                     silent.push((ix, holds))
                 }
                 MachineState::Ready => heard += 1,
                 _ => {}
             }
         }
-        let many = silent.len() * 6 > heard + 6 || !self.member.keepers.is_empty();
+        let many = silent.len() * 12 > heard + 12 || !self.member.keepers.is_empty();
         for (ix, holds) in silent {
             let Some(m) = self.machines.get(ix) else { continue };
             let unlisted = self.unlisted(&m.name);
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -82,6 +82,8 @@
     /// When the renewal of the lease that last succeeded was sent.
     renewed_ms: u64,
     inbox: WatchState,
+    /// The newest moment up to which the inbox is proven to be known.
+    inbox_ms: u64,
     inbox_due_ms: u64,
     pub inbox_rev: u64,
     siblings: Vec<SiblingSeen>,
@@ -116,6 +118,7 @@
             leader_since_ms: 0,
             renewed_ms: 0,
             inbox: WatchState::Unread,
+            inbox_ms: 0,
             inbox_due_ms: 0,
             inbox_rev: 0,
             siblings: vec![SiblingSeen::default(); n],
@@ -525,6 +528,7 @@
         self.state_answered();
         self.member.rev = log.ledger_rev;
         self.member.control_ms = self.member.control_ms.max(sent_ms);
+        self.prove_contact();
         self.member.control = WatchState::Idle;
         self.member.control_due_ms = 0;
         for change in log.log {
@@ -744,6 +748,13 @@
         }
     }
 
+    /// What others decide reaches a leader in two ways: past it, by the inbox, and over
+    /// it, by a later view. Only up to where both are known are the records known.
+    fn prove_contact(&mut self) {
+        let proven = self.member.inbox_ms.min(self.member.control_ms);
+        self.member.contact_ms = self.member.contact_ms.max(proven);
+    }
+
     /// Starts watching for what others record past the leader.
     pub(crate) fn watch_inbox(&mut self) {
         let now = self.now.steady_ms;
@@ -772,7 +783,8 @@
         let Ok(log) = from_cbor::<ChangeLog>(&r.body) else { return };
         self.state_answered();
         self.member.inbox_rev = log.ledger_rev;
-        self.member.contact_ms = self.member.contact_ms.max(sent_ms);
+        self.member.inbox_ms = self.member.inbox_ms.max(sent_ms);
+        self.prove_contact();
         for change in log.log {
             if let (Some(path), Some(value)) = (change.set, change.value) {
                 self.on_inbox(&path, &value);
--- a/crates/core/src/post.rs
+++ b/crates/core/src/post.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::controller::{Controller, Pending};
-use crate::ids::{epoch_of, in_epoch, MachineIx, TaskKey};
+use crate::ids::{in_epoch, MachineIx, TaskKey};
 use crate::machines::sane;
 use crate::member::Role;
 use crate::records::{decode, encode, json_size, post_key, POST, VIEW};
@@ -272,10 +272,6 @@
     /// What a worker told a keeper; its lease is the keeper's business.
     fn observe_posted(&mut self, at: usize, report: Report) {
         let ix = self.machine(&report.machine);
-        let epoch = self.epoch();
-        if epoch_of(report.token) > epoch {
-            return self.superseded();
-        }
         self.observe(ix, report);
         if let Some(m) = self.machines.get_mut(ix) {
             m.via = Some(at);
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use quartzgate_wire::msg::{JobStatus, Shape, TaskStatus};
+use quartzgate_wire::msg::{JobStatus, ReportTask, Shape, TaskStatus};
 use world::{job, Cut, End, World, CANCEL_MS};
 
 /// Guards the whole ordinary path: accepted, started, told done; a service runs its
@@ -403,6 +403,31 @@
     }
 }
 
+/// Guards cancelled work against an owner that has been replaced: whatever way it hears
+/// of the next owner's token, it must not command with it. Taken from the answer to an
+/// inspection, it once let an owner back from a cut start what had been cancelled.
+#[test]
+fn a_replaced_owner_never_takes_the_next_ones_token() {
+    let mut w = World::new(3, 1, 0.0, 640);
+    w.run(2_000);
+    let old = w.leader().unwrap();
+    let mut report = w.report_of("vm-000000").unwrap();
+    w.cut(End::Node(old), End::Worker("vm-000000".into()), Cut::Drop);
+    w.run(1_500);
+    // It has seen a later epoch, and holds something that the old owner would stop.
+    let later = (report.token >> 24) + 1;
+    (report.token, report.seq) = (later << 24, report.seq + 100);
+    report.tasks = vec![ReportTask {
+        task: "wk-000009/0".into(),
+        attempt: later << 24,
+        status: TaskStatus::Running,
+        cause: None,
+        saved: None,
+    }];
+    let tokens = w.answer_inspect(old, &report);
+    assert!(tokens.iter().all(|t| t >> 24 < later), "commands with {tokens:x?}");
+}
+
 /// Guards keeping: while two zones are apart, what runs in the leader's far zone runs
 /// on, an abort still ends it in time, and nothing runs twice afterwards.
 #[test]
