--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -739,7 +739,7 @@
     pub(crate) fn return_silent(&mut self) {
         let now = self.now.steady_ms;
         // Workers need a while to find a new leader; one that we have heard is asked
-        // for its report before this.
+        // for its report before this, and one that is not listed has most likely gone.
         let (patience, at_first) = (self.cfg.lease_ms() / 3, self.cfg.lease_ms() * 3 / 4);
         let (mut silent, mut heard) = (Vec::new(), 0);
         for (ix, m) in self.machines.iter() {
@@ -747,14 +747,18 @@
             let holds = !m.tasks.is_empty() || !m.unproven.is_empty();
             match m.state {
                 MachineState::Ready if now > since + patience => silent.push((ix, holds)),
-                MachineState::Greeted | MachineState::Unheard if now > since + at_first => {
+                MachineState::Greeted | MachineState::Unheard
+                    if now > since + if self.unlisted(&m.name) { patience } else { at_first } =>
+                {
                     silent.push((ix, holds))
                 }
                 MachineState::Ready => heard += 1,
                 _ => {}
             }
         }
-        let many = silent.len() * 12 > heard + 12 || !self.member.keepers.is_empty();
+        let odd = silent.iter().filter_map(|(ix, _)| self.machines.get(*ix));
+        let odd = odd.filter(|m| !self.unlisted(&m.name)).count();
+        let many = odd * 12 > heard + 12 || !self.member.keepers.is_empty();
         for (ix, holds) in silent {
             let Some(m) = self.machines.get(ix) else { continue };
             let unlisted = self.unlisted(&m.name);
