A job that fails wherever it is tried blames no machine, and is tried seldom

Now a job that has failed on three machines and succeeded on none is taken for mistaken: one task of it is tried at a time, after ever longer pauses; it hires, preempts and outranks nothing. A machine is faulty when two jobs that run well elsewhere fail on it, or three of any. Story: mistaken_jobs_blame_no_machine, seen to fail without the verdict on jobs and without the verdict on machines.

--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -280,6 +280,9 @@
         let mut extra: Vec<f64> = vec![0.0; self.teams.len()];
         for (_, job) in jobs {
             if job.spec.shape == Shape::Gang {
+                if job.mistaken() {
+                    continue;
+                }
                 out.extend(self.unmet_gang(job, &mut free));
                 continue;
             }
@@ -299,7 +302,7 @@
             };
             let undealt = undealt.min(allowed);
             extra[job.team] += f64::from(undealt) * job.spec.cpus;
-            let mut wanting = dealt + undealt;
+            let mut wanting = job.asking(dealt + undealt);
             let need = job.room();
             if job.spec.spread {
                 out.extend(self.unmet_spread(job, wanting, &mut free));
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -11,7 +11,7 @@
 
 use crate::controller::Controller;
 use crate::ids::{JobIx, MachineIx, TaskKey};
-use crate::jobs::{JobState, Probe, TaskState};
+use crate::jobs::{JobState, Probe, Task, TaskState};
 use crate::machines::{Machine, Room};
 use crate::records::CHUNK;
 
@@ -98,7 +98,7 @@
         let mut open: Vec<(Rank, u8, u64, JobIx)> = self
             .jobs
             .iter()
-            .filter(|(_, j)| j.state == JobState::Live && j.next < j.spec.tasks)
+            .filter(|(_, j)| j.state == JobState::Live && j.next < j.spec.tasks && !j.mistaken())
             .map(|(ix, j)| (j.spec.rank, j.lost, j.at_ms, ix))
             .collect();
         if open.is_empty() {
@@ -117,7 +117,8 @@
     pub(crate) fn backlog(&self) -> Backlog {
         let mut waiting: BTreeMap<Rank, f64> = BTreeMap::new();
         for (_, j) in self.jobs.iter().filter(|(_, j)| j.waiting > 0) {
-            *waiting.entry(j.spec.rank).or_default() += f64::from(j.waiting) * j.spec.cpus;
+            *waiting.entry(j.spec.rank).or_default() +=
+                f64::from(j.asking(j.waiting)) * j.spec.cpus;
         }
         let all = self
             .machines
@@ -147,7 +148,8 @@
                 let mut spare = free;
                 // What is full stays full, whatever its queue has spoken for.
                 for key in m.queue.iter().filter(|_| free.fits(&need)) {
-                    let Some(j) = self.jobs.get(key.job) else { continue };
+                    let job = self.jobs.get(key.job).filter(|j| !j.mistaken());
+                    let Some(j) = job else { continue };
                     let probes = j.task(key.task).map_or(1, |t| t.probes.len()).max(1);
                     spare.add(&j.room(), -1.0 / probes as f64);
                 }
@@ -444,15 +446,15 @@
         let mut waiting: Vec<(Rank, u8, f64, u64, TaskKey)> = Vec::new();
         for (ix, job) in self.jobs.iter() {
             let gang = job.spec.shape == Shape::Gang;
-            if job.state != JobState::Live || job.waiting == 0 || gang {
+            if job.state != JobState::Live || job.waiting == 0 || gang || !job.may_try(now) {
                 continue;
             }
-            for (n, t) in job.tasks() {
-                if t.state == TaskState::Waiting && t.not_before_ms <= now {
-                    let key = TaskKey { job: ix, task: n };
-                    let remaining_s = job.remaining_s();
-                    waiting.push((job.spec.rank, job.lost, remaining_s, t.arrived, key));
-                }
+            let most = job.asking(job.waiting) as usize;
+            let ready = |t: &Task| t.state == TaskState::Waiting && t.not_before_ms <= now;
+            for (n, t) in job.tasks().filter(|(_, t)| ready(t)).take(most) {
+                let key = TaskKey { job: ix, task: n };
+                let remaining_s = job.remaining_s();
+                waiting.push((job.spec.rank, job.lost, remaining_s, t.arrived, key));
             }
         }
         // As the queues have it.
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -54,7 +54,7 @@
     pub(crate) fn weigh(&mut self) {
         let mut demand: BTreeMap<Constraint, f64> = BTreeMap::new();
         for (_, job) in self.jobs.iter().filter(|(_, j)| j.state == JobState::Live) {
-            let asking = job.spec.tasks - job.done;
+            let asking = job.asking(job.spec.tasks - job.done);
             for (c, amount) in Self::constraints(&job.spec) {
                 *demand.entry(c).or_default() += amount * f64::from(asking);
             }
@@ -143,7 +143,7 @@
             .max(share(m.used.memory_gb, all.memory_gb));
         let keys = m.tasks.keys().chain(&m.queue);
         let times = keys.filter_map(|k| {
-            let job = self.jobs.get(k.job)?;
+            let job = self.jobs.get(k.job).filter(|j| !j.mistaken())?;
             Some(self.remaining_s(job, job.task(k.task)?))
         });
         expected_wait(load, times.filter(|t| *t > 0.0))
@@ -228,7 +228,10 @@
             guaranteed: team.cpus > 0.0 && placed.cpus + job.spec.cpus <= team.cpus + 1e-6,
             lost: job.lost,
             // What failed before is not short: it counts once more each time.
-            remaining_s: job.remaining_s() * f64::from(1 + task.failures.min(8)),
+            remaining_s: match job.mistaken() {
+                true => f64::INFINITY,
+                false => job.remaining_s() * f64::from(1 + task.failures.min(8)),
+            },
             ratio: job.ratio,
             slack: task.slack,
             arrived: task.arrived,
@@ -242,6 +245,7 @@
         job.state == JobState::Live
             && task.state == TaskState::Waiting
             && task.not_before_ms <= self.now.steady_ms
+            && job.may_try(self.now.steady_ms)
             && self.may_start(job.team, &job.room())
             && task.probes.iter().all(|p| !p.unproven)
             && task.probes.iter().any(|p| p.machine == ix && p.version <= chunk.acked)
@@ -274,6 +278,9 @@
     }
 
     pub(crate) fn bind_as(&mut self, key: TaskKey, ix: MachineIx, attempt: u64) {
+        if let Some(job) = self.jobs.get_mut(key.job).filter(|j| j.mistaken()) {
+            job.trials += 1;
+        }
         let Some(task) = self.jobs.task_mut(key) else { return };
         task.slack = 0;
         let probes: Vec<MachineIx> = task.probes.iter().map(|p| p.machine).collect();
@@ -295,8 +302,8 @@
         let mut asking: Vec<(Rank, u64, TaskKey)> = Vec::new();
         for (ix, job) in self.jobs.iter() {
             let gang = job.spec.shape == Shape::Gang;
-            if job.state != JobState::Live || job.waiting == 0 || job.spec.rank < Rank::High || gang
-            {
+            let idle = job.waiting == 0 || job.mistaken();
+            if job.state != JobState::Live || idle || job.spec.rank < Rank::High || gang {
                 continue;
             }
             for (n, t) in job.tasks() {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -5,6 +5,7 @@
 
 use quartzgate_wire::msg::{JobAnswer, JobSpec, JobStatus, TaskStatus};
 
+use crate::blame::Trust;
 use crate::controller::Controller;
 use crate::ids::{JobIx, MachineIx, TaskKey};
 use crate::machines::Room;
@@ -122,7 +123,14 @@
     pub waiting: u32,
     /// First task that has not been dealt.
     pub next: u32,
+    /// Machines on which a task of it failed.
     pub errors_on: Vec<MachineIx>,
+    pub trust: Trust,
+    /// Trials since it was taken for mistaken, and when the next is due.
+    pub trials: u32,
+    pub trial_ms: u64,
+    /// Tasks that occupy a machine, or are about to.
+    pub bound: u32,
     pub aborted_ms: u64,
     /// When its record was last read again.
     pub read_ms: u64,
@@ -269,6 +277,10 @@
             waiting: 0,
             next: 0,
             errors_on: Vec::new(),
+            trust: Trust::Untried,
+            trials: 0,
+            trial_ms: 0,
+            bound: 0,
             aborted_ms: self.now.steady_ms,
             read_ms: self.now.steady_ms,
             lost: 0,
@@ -318,6 +330,8 @@
         job.waiting = job.waiting + u32::from(waits(&state)) - u32::from(waits(&old));
         job.on = job.on + u32::from(on(&state)) - u32::from(on(&old));
         job.done = job.done + u32::from(done(&state)) - u32::from(done(&old));
+        let bound = |s: &TaskState| u32::from(s.machine().is_some());
+        job.bound = job.bound + bound(&state) - bound(&old);
         if old.licensed() != state.licensed() {
             let sign = if state.licensed() { 1.0 } else { -1.0 };
             self.teams[team].licensed.add(&room, sign);
@@ -347,6 +361,9 @@
         if state == TaskState::Dropped {
             self.store.touch_job(key.job);
         }
+        if done(&state) && !done(&old) {
+            self.trust_to(key.job, Trust::Proven);
+        }
         if waits(&state) && !waits(&old) {
             self.enqueue(key);
         }
@@ -363,6 +380,8 @@
         match state {
             JobState::Aborted => {
                 tracing::info!(job = %job.id, "aborted");
+                self.absolve(ix);
+                let Some(job) = self.jobs.get_mut(ix) else { return };
                 job.aborted_ms = self.now.steady_ms;
                 let keys: Vec<u32> = job.tasks().map(|(t, _)| t).collect();
                 for task in keys {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! be told again in a test.
 
 mod api;
+mod blame;
 mod budget;
 mod cloud;
 pub mod config;
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -11,8 +11,9 @@
 use quartzgate_wire::msg::{ReportTask, TaskStatus};
 use quartzgate_wire::{from_cbor, to_cbor};
 
+use crate::blame::Trust;
 use crate::controller::{Controller, Pending};
-use crate::ids::{epoch_of, in_epoch, parse_task, task_name, MachineIx, TaskKey};
+use crate::ids::{epoch_of, in_epoch, parse_task, task_name, JobIx, MachineIx, TaskKey};
 use crate::jobs::{JobState, TaskState};
 use crate::{Outcome, Peer, RequestId};
 
@@ -110,8 +111,9 @@
     /// The newest report began a session: all of earlier ones is gone.
     pub fresh_session: bool,
     pub images: BTreeMap<String, u64>,
-    /// Jobs whose tasks failed here since one last completed.
-    pub failed_jobs: Vec<String>,
+    /// Jobs whose tasks failed here since one last completed, and whether they have
+    /// run well elsewhere.
+    pub failures: BTreeMap<JobIx, bool>,
     pub quarantined: bool,
     pub no_room_until_ms: u64,
     /// Age by the cloud's list, if it was listed.
@@ -196,7 +198,7 @@
             reported: Vec::new(),
             fresh_session: false,
             images: BTreeMap::new(),
-            failed_jobs: Vec::new(),
+            failures: BTreeMap::new(),
             quarantined: false,
             no_room_until_ms: 0,
             listed: false,
@@ -260,7 +262,7 @@
     }
 
     /// The machine will take no task: its queue's tasks need other probes.
-    fn requeue_probes(&mut self, ix: MachineIx) {
+    pub(crate) fn requeue_probes(&mut self, ix: MachineIx) {
         let Some(m) = self.machines.get_mut(ix) else { return };
         let queue = std::mem::take(&mut m.queue);
         if !queue.is_empty() {
@@ -475,14 +477,13 @@
         let key = TaskKey { job: job_ix, task: n };
         let job = self.jobs.get(job_ix)?;
         let image = job.spec.image.clone();
+        let service = job.spec.shape == Shape::Service;
         let state = job.task(n)?.state;
         let mine = state.machine() == Some((ix, r.attempt));
         if r.status == TaskStatus::Exited {
             match r.cause {
                 Some(Cause::Done) => {
-                    if let Some(m) = self.machines.get_mut(ix) {
-                        m.failed_jobs.clear();
-                    }
+                    self.task_ran_well(ix);
                     match self.jobs.get(job_ix).map(|j| j.spec.shape) {
                         Some(Shape::Gang) => self.gang_done(job_ix),
                         _ => self.task_done(key),
@@ -524,6 +525,11 @@
                 if machine == ix && attempt == r.attempt =>
             {
                 let since_ms = if status == r.status { since_ms } else { now };
+                // A replica never completes; one that has run for a while runs well.
+                let steady = now >= since_ms + 4 * self.cfg.report_ms();
+                if r.status == TaskStatus::Running && steady && service {
+                    self.trust_to(job_ix, Trust::Proven);
+                }
                 self.task_to(key, TaskState::On { machine, attempt, status: r.status, since_ms });
             }
             // Wherever a task is seen alive, there it is: it may start nowhere else.
@@ -537,35 +543,6 @@
         Some(key)
     }
 
-    fn task_failed(&mut self, ix: MachineIx, key: TaskKey) {
-        self.back_off(key);
-        let Some(job) = self.jobs.get_mut(key.job) else { return };
-        let id = job.id.clone();
-        if !job.errors_on.contains(&ix) {
-            job.errors_on.push(ix);
-        }
-        let Some(m) = self.machines.get_mut(ix) else { return };
-        tracing::debug!(machine = %m.name, job = %id, task = key.task, "task failed");
-        if !m.failed_jobs.contains(&id) {
-            m.failed_jobs.push(id);
-        }
-        if m.failed_jobs.len() >= 2 && !m.quarantined {
-            m.quarantined = true;
-            tracing::info!(machine = %m.name, jobs = ?m.failed_jobs, "quarantined: different jobs fail here");
-            self.drain_due = true;
-            self.requeue_probes(ix);
-        }
-    }
-
-    /// A failed start or task waits longer every time.
-    fn back_off(&mut self, key: TaskKey) {
-        let (now, step) = (self.now.steady_ms, self.cfg.report_ms());
-        if let Some(t) = self.jobs.task_mut(key) {
-            t.failures += 1;
-            t.not_before_ms = now + (step << t.failures.min(6)) / 4;
-        }
-    }
-
     /// What a machine should be told over and above starts: stops for what should
     /// not be there, clears for what is on record.
     pub(crate) fn standing_orders(&self, ix: MachineIx) -> Vec<Order> {
--- a/crates/core/src/restore.rs
+++ b/crates/core/src/restore.rs
@@ -5,6 +5,7 @@
 use quartzgate_wire::from_cbor;
 use quartzgate_wire::msg::{PairList, Report};
 
+use crate::blame::Trust;
 use crate::controller::{Controller, Pending};
 use crate::ids::{JobIx, MachineIx, TaskKey};
 use crate::jobs::{JobState, Probe, TaskState};
@@ -178,7 +179,12 @@
         job.done =
             record.done_chunks.iter().flat_map(|(a, b)| *a..=*b).map(|c| job.chunk_len(c)).sum();
         job.done_chunks = record.done_chunks;
-        Some(self.jobs.insert(job))
+        let proven = job.done > 0;
+        let ix = self.jobs.insert(job);
+        if proven {
+            self.trust_to(ix, Trust::Proven);
+        }
+        Some(ix)
     }
 
     /// Takes a share into memory. Every machine that it names may hold the task,
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -604,6 +604,43 @@
     w.keep_rules();
 }
 
+/// Guards healthy machines against jobs that were submitted with a mistake: these fail
+/// wherever they are tried, and are tried seldom, while other work goes on beside them
+/// and a machine that is truly faulty is still found.
+#[test]
+fn mistaken_jobs_blame_no_machine() {
+    for faulty in [false, true] {
+        let mut w = World::new(3, 8, 0.0, 1350);
+        w.run(500);
+        w.workers.get_mut("vm-000003").unwrap().fails = faulty;
+        for n in 1..5 {
+            let id = format!("wk-00000{n}");
+            w.mistaken.insert(id.clone(), 0);
+            w.submit_surely(&job(&id, Shape::Array, 6));
+        }
+        w.run(5_000);
+        let before: Vec<u32> = w.mistaken.values().copied().collect();
+        for n in 1..5 {
+            w.submit_surely(&job(&format!("wk-00001{n}"), Shape::Array, 8));
+        }
+        for n in 1..5 {
+            w.until_done(&format!("wk-00001{n}"), 20_000);
+        }
+        w.run(30_000);
+        assert_eq!(w.workers.len(), if faulty { 7 } else { 8 }, "only what is faulty goes back");
+        assert_eq!(w.workers.contains_key("vm-000003"), !faulty);
+        for (failed, before) in w.mistaken.values().zip(before) {
+            assert!(failed - before <= 8, "{failed} failures, {before} of them early");
+        }
+        for n in 1..5 {
+            let abort = w.abort(0, &format!("wk-00000{n}"));
+            w.run(500);
+            assert_eq!(w.status(abort), 200);
+        }
+        w.keep_rules();
+    }
+}
+
 /// Guards against everything at once: random kills, cuts, outages, hangs and aborts
 /// over a lossy network. The rules hold and, once it is calm, all work is done.
 #[test]
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -157,6 +157,8 @@
     pub told: BTreeMap<String, JobStatus>,
     pub breaches: Vec<String>,
     pub starts: BTreeMap<String, Vec<(String, u64)>>,
+    /// Jobs that were submitted with a mistake, and how often their tasks have failed.
+    pub mistaken: BTreeMap<String, u32>,
     pub loss: f64,
     pub max_delay: u64,
     next_machine: u32,
@@ -249,6 +251,7 @@
             told: BTreeMap::new(),
             breaches: Vec::new(),
             starts: BTreeMap::new(),
+            mistaken: BTreeMap::new(),
             loss: 0.0,
             max_delay: 4,
             next_machine: 0,
@@ -1169,6 +1172,7 @@
             (_, Shape::Service) => u64::MAX / 2,
             _ => self.run_of(&task),
         };
+        let mistaken = self.mistaken.get_mut(job_id).map(|failed| *failed += 1).is_some();
         let w = self.workers.get_mut(name).unwrap();
         let used: f64 = w
             .tasks
@@ -1179,7 +1183,7 @@
             .sum();
         let (status, cause) = if used + spec.cpus > w.cpus + 1e-6 {
             (TaskStatus::Exited, Some(Cause::NoRoom))
-        } else if w.fails {
+        } else if w.fails || mistaken {
             (TaskStatus::Exited, Some(Cause::Error))
         } else if spec.shape == Shape::Gang {
             (TaskStatus::Waiting, None)
