Silent machines are asked before they go back; what a list must show and does not goes at once

Most were new ones that the lagging list did not show yet; others were names of long gone machines, which the next owner waited for; some were inspected and given back in one tick. Ruled out: that the cloud had lost them (they ran tasks). Now an unlisted machine counts as gone only if the list describes a moment at which it must have existed: it shows a later name, or we have known the machine for twice the lag. Such a machine of an earlier owner is returned at once. A machine with an address is asked, and given time to answer, before it is returned. Records no longer name machines that are gone.

--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -39,6 +39,9 @@
     /// Names on the list that is being read, and on the last one read whole.
     reading: BTreeSet<String>,
     listed: Option<BTreeSet<String>>,
+    /// When each was asked for.
+    reading_ms: u64,
+    listed_ms: u64,
 }
 
 /// The cloud takes at most this many machines in one hire and one return.
@@ -64,6 +67,8 @@
             returning: Vec::new(),
             reading: BTreeSet::new(),
             listed: None,
+            reading_ms: 0,
+            listed_ms: 0,
         }
     }
 }
@@ -89,8 +94,9 @@
 
     pub(crate) fn list_machines(&mut self, since: Option<String>) {
         let mut target = "/machines?most=500".to_string();
-        if let Some(s) = &since {
-            target.push_str(&format!("&since={s}"));
+        match &since {
+            Some(s) => target.push_str(&format!("&since={s}")),
+            None => self.cloud.reading_ms = self.now.steady_ms,
         }
         self.cloud.listing = true;
         self.call(Peer::Cloud, "GET", target, Vec::new(), 2000, Pending::List { since });
@@ -184,12 +190,20 @@
             return self.list_machines(last);
         }
         self.cloud.listed = Some(std::mem::take(&mut self.cloud.reading));
+        self.cloud.listed_ms = self.cloud.reading_ms;
     }
 
-    /// The last list that was read whole does not show it. The list lags, so this is
-    /// no proof, only a reason to ask for one.
-    pub(crate) fn unlisted(&self, name: &str) -> bool {
-        self.cloud.listed.as_ref().is_some_and(|l| !l.contains(name))
+    /// The last list that was read whole does not show it, and describes a moment at
+    /// which it must have existed: it is gone. The list lags; it describes a later one
+    /// if it shows a machine with a later name (names are in order of creation), or if
+    /// we have known the machine for longer than a list can lag. Any other machine may
+    /// be up and full of work without being listed.
+    pub(crate) fn unlisted(&self, m: &Machine) -> bool {
+        let Some(list) = &self.cloud.listed else { return false };
+        let lag_ms = (2000.0 * self.cfg.platform.params.cloud.list_lag_s) as u64;
+        let later = list.last().is_some_and(|last| *last > m.name);
+        let known = self.cloud.listed_ms >= m.since_ms + lag_ms;
+        (later || known) && !list.contains(&m.name)
     }
 
     fn heard(&self, ix: MachineIx) -> bool {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -8,7 +8,7 @@
 use crate::blame::Trust;
 use crate::controller::Controller;
 use crate::ids::{JobIx, MachineIx, TaskKey};
-use crate::machines::Room;
+use crate::machines::{MachineState, Room};
 use crate::records::{ranges, ProbeSet, RecordedStatus, ShareRecord, CHUNK};
 
 /// Where a task stands.
@@ -441,7 +441,9 @@
             let n = first + i as u32;
             let mut set = Vec::with_capacity(task.probes.len());
             for p in &task.probes {
-                let Some(m) = self.machines.get(p.machine) else { continue };
+                let known = self.machines.get(p.machine);
+                // What is gone holds nothing: the next owner need not look for it.
+                let Some(m) = known.filter(|m| m.state != MachineState::Gone) else { continue };
                 let at = *names.entry(p.machine).or_insert_with(|| {
                     record.machines.push(m.name.clone());
                     record.machines.len() as u32 - 1
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -385,6 +385,10 @@
             return;
         }
         let new_session = report.tenure > m.tenure;
+        let lost = m.tasks.len() + m.unproven.len();
+        if new_session && m.tenure > 0 && lost > 0 {
+            tracing::info!(machine = %m.name, lost, "its lease ran out: a new session");
+        }
         (m.tenure, m.seq, m.token_seen) = (report.tenure, report.seq, report.token);
         m.addr = report.addr.parse().ok();
         m.kind = report.kind;
@@ -715,30 +719,34 @@
     /// that the cloud no longer lists.
     pub(crate) fn return_silent(&mut self) {
         let now = self.now.steady_ms;
-        // Workers need a while to find a new leader; one that we have heard is asked
-        // for its report before this, and one that is not listed has most likely gone.
+        // Workers need a while to find a new leader; all that we have the address of are
+        // asked for their reports before this.
         let (patience, at_first) = (self.cfg.lease_ms() / 3, self.cfg.lease_ms() * 3 / 4);
+        let time_to_answer = self.cfg.report_ms() / 2;
         let (mut silent, mut heard) = (Vec::new(), 0);
         for (ix, m) in self.machines.iter() {
             let since = m.heard_ms.max(m.since_ms).max(self.epoch_began_ms);
             let holds = !m.tasks.is_empty() || !m.unproven.is_empty();
+            let unlisted = self.unlisted(m);
+            // An earlier owner knew it, and the cloud has it no more.
+            let patience = match m.state {
+                MachineState::Greeted | MachineState::Unheard if !unlisted => at_first,
+                MachineState::Unheard => 0,
+                _ => patience,
+            };
+            let asked = m.probed_ms > m.heard_ms && now >= m.probed_ms + time_to_answer;
+            let asked = asked || m.addr.is_none() || unlisted || self.post_route(ix).is_some();
             match m.state {
-                MachineState::Ready if now > since + patience => silent.push((ix, holds)),
-                MachineState::Greeted | MachineState::Unheard
-                    if now > since + if self.unlisted(&m.name) { patience } else { at_first } =>
-                {
-                    silent.push((ix, holds))
-                }
+                MachineState::Presumed | MachineState::Returning | MachineState::Gone => {}
+                _ if now > since + patience && asked => silent.push((ix, holds, unlisted)),
                 MachineState::Ready => heard += 1,
                 _ => {}
             }
         }
-        let odd = silent.iter().filter_map(|(ix, _)| self.machines.get(*ix));
-        let odd = odd.filter(|m| !self.unlisted(&m.name)).count();
+        let odd = silent.iter().filter(|(_, _, unlisted)| !unlisted).count();
         let many = odd * 12 > heard + 12 || !self.member.keepers.is_empty();
-        for (ix, holds) in silent {
+        for (ix, holds, unlisted) in silent {
             let Some(m) = self.machines.get(ix) else { continue };
-            let unlisted = self.unlisted(&m.name);
             if holds && (unlisted || !many) {
                 tracing::info!(machine = %m.name, unlisted, "silent while others are heard");
                 self.begin_return(ix);
@@ -750,7 +758,7 @@
     /// controller that we don't hear.
     pub(crate) fn inspect_quiet(&mut self) {
         let now = self.now.steady_ms;
-        let quiet = 2 * self.cfg.report_ms();
+        let quiet = self.cfg.report_ms() * 3 / 2;
         let due: Vec<MachineIx> = self
             .machines
             .iter()
