--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -401,7 +401,9 @@
                 self.remember_final(ix, RecordedStatus::Aborted);
             }
             JobState::Done => {
-                tracing::debug!(job = %job.id, "done");
+                let age_ms = self.now.wall_ms.saturating_sub(job.at_ms);
+                let (class, tasks, due_s) = (&job.spec.class, job.spec.tasks, job.spec.deadline_s);
+                tracing::debug!(job = %job.id, %class, tasks, age_ms, due_s, "done");
                 self.remember_final(ix, RecordedStatus::Done);
             }
             JobState::Live if old == JobState::Doubtful => self.touch_all(),
