A woken controller is in doubt until it knows the view; sockets come before deadlines

Cause: a process that stands still while its clocks run on went by what it knew. Every deadline had passed at once, so that answers which lay in its sockets were called lost; reports were answered with a token that others had replaced; its own silence was taken for the machines'. Ruled out: a broken rule. Leases count from when a report was sent, so that the horizon bounds a pause like any cut; stories of pauses between and in the midst of rounds, below and above the leases, twice in a row, as leader and not, and storms with pauses broke none before or after. Now a gap longer than a third of the lease is a pause: the view is read anew, a leader commands nobody and holds reports until then (or until the state service has answered nobody for two timeouts), idle and silent times take no pause in, the daemon looks at its sockets before it calls anything late, and a call that was slept through is not sent. Stories: a_controller_stands_still, a_woken_leader_commands_nobody_before_it_knows_the_view (seen to fail without the doubt), storms.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -129,6 +129,12 @@
         self.report_ms().clamp(1000, 3000).min((self.horizon_ms() / 4).max(100))
     }
 
+    /// Time between two events past which this process must have stood still: it is
+    /// told the time far more often, and a lease outlasts it.
+    pub fn pause_ms(&self) -> u64 {
+        self.member_ttl_ms() / 3
+    }
+
     /// Time for an ordinary answer of the state service.
     pub fn state_timeout_ms(&self) -> u64 {
         (self.member_ttl_ms() / 3).clamp(400, 1000)
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -16,6 +16,7 @@
 use crate::keeper::Keeper;
 use crate::machines::{Machines, Room};
 use crate::member::{Member, Role};
+use crate::pause::Pause;
 use crate::post::PostBox;
 use crate::records::RecordedStatus;
 use crate::restore::Restore;
@@ -33,7 +34,7 @@
     Post { ids: Vec<u64> },
     HandedOn { sibling: usize, id: u64 },
     ReadAgain { job: String, epoch: u64 },
-    ControlRead,
+    ControlRead { sent_ms: u64 },
     ControlWatch { sent_ms: u64 },
     Elect { epoch: u64 },
     InboxWatch { sent_ms: u64, epoch: u64 },
@@ -116,6 +117,7 @@
     pub(crate) finals: Finals,
     pub(crate) keeper: Keeper,
     pub(crate) post: PostBox,
+    pub(crate) pause: Pause,
     pub(crate) types: Vec<MachineType>,
     pub(crate) types_at_ms: Option<u64>,
     pub(crate) types_asked_ms: u64,
@@ -163,6 +165,7 @@
             finals: Finals::default(),
             keeper: Keeper::new(),
             post: PostBox::default(),
+            pause: Pause::new(),
             types: Vec::new(),
             types_at_ms: None,
             types_asked_ms: 0,
@@ -194,7 +197,11 @@
 
     /// Takes in what has happened; returns what is to be done.
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Action> {
-        self.now = now;
+        let before_ms = std::mem::replace(&mut self.now, now).steady_ms;
+        let gap_ms = now.steady_ms.saturating_sub(before_ms);
+        if before_ms > 0 && gap_ms > self.cfg.pause_ms() {
+            self.woke(gap_ms);
+        }
         match event {
             Event::Tick => self.on_tick(),
             Event::Client { id, request } => self.on_client(id, request),
@@ -211,6 +218,7 @@
 
     fn on_tick(&mut self) {
         self.tick_member();
+        self.settle_doubt();
         self.tick_types();
         self.tick_keeper();
         self.tick_restore();
@@ -281,7 +289,7 @@
             Pending::KeepRead { job, sent_ms } => self.on_keep_read(job, sent_ms, outcome),
             Pending::Post { ids } => self.on_post_written(ids, outcome),
             Pending::HandedOn { sibling, id } => self.on_handed_on(sibling, id, outcome),
-            Pending::ControlRead => self.on_control_read(outcome),
+            Pending::ControlRead { sent_ms } => self.on_control_read(sent_ms, outcome),
             Pending::ControlWatch { sent_ms } => self.on_control_watch(sent_ms, outcome),
             Pending::Elect { epoch } => self.on_elect(epoch, outcome),
             Pending::AcceptAlone { request, id } => self.on_accept_alone(request, id, outcome),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 mod keeper;
 mod machines;
 mod member;
+mod pause;
 mod post;
 pub mod queue;
 pub mod records;
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -155,6 +155,13 @@
         self.table.keys().copied().collect()
     }
 
+    /// Time in which nothing was given to machines does not count as idle.
+    pub fn idle_later(&mut self, by_ms: u64, now_ms: u64) {
+        for m in self.table.values_mut() {
+            m.idle_since_ms = (m.idle_since_ms + by_ms).min(now_ms);
+        }
+    }
+
     pub fn remove(&mut self, ix: MachineIx) {
         if let Some(m) = self.table.remove(&ix) {
             self.by_name.remove(&m.name);
@@ -283,6 +290,9 @@
             tracing::info!(machine = %report.machine, "superseded: a worker has seen a later epoch");
             self.superseded();
         }
+        if self.in_doubt() {
+            return self.hold_report(id, body, passed_on);
+        }
         if !self.commands_workers() {
             if passed_on {
                 return self.redirect(id);
@@ -726,6 +736,8 @@
         let (mut silent, mut heard) = (Vec::new(), 0);
         for (ix, m) in self.machines.iter() {
             let since = m.heard_ms.max(m.since_ms).max(self.epoch_began_ms);
+            // Through a pause it was we who heard nothing.
+            let since = since.max(self.pause.woke_ms);
             let holds = !m.tasks.is_empty() || !m.unproven.is_empty();
             let unlisted = self.unlisted(m);
             // An earlier owner knew it, and the cloud has it no more.
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -128,6 +128,17 @@
     }
 }
 
+impl Member {
+    /// The view is proven to be known as it stood at this moment or later.
+    pub fn view_known_since(&self, ms: u64) -> bool {
+        self.control_ms >= ms
+    }
+
+    pub fn state_answered_since(&self, ms: u64) -> bool {
+        self.state_ms.is_some_and(|s| s >= ms)
+    }
+}
+
 impl Controller {
     pub(crate) fn epoch(&self) -> u64 {
         self.member.epoch
@@ -147,6 +158,7 @@
     pub(crate) fn commands_workers(&self) -> bool {
         matches!(self.member.role, Role::Restoring | Role::Leading)
             && self.now.steady_ms < self.member.contact_ms + self.cfg.horizon_ms()
+            && !self.in_doubt()
     }
 
     pub(crate) fn known_leader(&self) -> Option<String> {
@@ -200,7 +212,7 @@
         let (leader, _) = self.member.leader.as_ref()?;
         let at = self.cfg.platform.siblings.iter().position(|s| s.node == leader.node)?;
         let heard = self.member.siblings[at].heard_ms.unwrap_or(0);
-        Some(heard.max(self.member.leader_since_ms))
+        Some(heard.max(self.member.leader_since_ms).max(self.pause.woke_ms))
     }
 
     /// The leader's key stands, and yet the leader has missed its beats: it lives out
@@ -329,7 +341,8 @@
                     self.member.control = WatchState::Reading;
                     self.member.control_sent_ms = now;
                     let target = format!("/keys?starts={VIEW}");
-                    self.state_call("GET", target, Vec::new(), Pending::ControlRead);
+                    let pending = Pending::ControlRead { sent_ms: now };
+                    self.state_call("GET", target, Vec::new(), pending);
                 }
                 WatchState::Idle => self.watch_control(),
                 _ => {}
@@ -343,6 +356,17 @@
         }
     }
 
+    /// What is asked anew after a pause: whether the lease stands, and who is there.
+    pub(crate) fn ask_anew(&mut self) {
+        let now = self.now.steady_ms;
+        // An answer to what was asked before proves nothing of now.
+        self.member.control = WatchState::Unread;
+        (self.member.control_due_ms, self.member.control_sent_ms) = (now, 0);
+        self.member.renewing = false;
+        self.member.lease_due_ms = now;
+        self.member.siblings.iter_mut().filter(|s| !s.asking).for_each(|s| s.sent_ms = 0);
+    }
+
     fn tick_lease(&mut self, now: u64) {
         if now < self.member.lease_due_ms || self.member.renewing {
             return;
@@ -413,8 +437,12 @@
         }
     }
 
-    pub(crate) fn on_control_read(&mut self, outcome: Outcome) {
+    pub(crate) fn on_control_read(&mut self, sent_ms: u64, outcome: Outcome) {
         let now = self.now.steady_ms;
+        // Asked anew since, after a pause.
+        if self.member.control_sent_ms != sent_ms {
+            return;
+        }
         self.member.control = WatchState::Unread;
         self.member.control_due_ms = now + self.cfg.renew_every_ms() / 2;
         let Outcome::Answer(r) = outcome else { return };
@@ -450,12 +478,13 @@
         for (node, stamp) in &have {
             self.see_keeper(node, Some(*stamp));
         }
-        self.member.control_ms = self.member.control_ms.max(self.member.control_sent_ms);
+        self.member.control_ms = self.member.control_ms.max(sent_ms);
         self.member.rev = list.ledger_rev;
         self.member.control = WatchState::Idle;
         self.member.control_due_ms = 0;
         self.see_view(view);
         self.see_leader(leader);
+        self.settle_doubt();
         self.watch_control();
     }
 
@@ -502,13 +531,15 @@
         self.member.control = WatchState::Watching;
         let target = format!("/changes?starts={VIEW}&since={}&block_ms={block}", self.member.rev);
         let timeout = block + self.cfg.state_timeout_ms();
+        self.member.control_sent_ms = now;
         let pending = Pending::ControlWatch { sent_ms: now };
         self.call(Peer::State, "GET", target, Vec::new(), timeout, pending);
     }
 
     pub(crate) fn on_control_watch(&mut self, sent_ms: u64, outcome: Outcome) {
         let now = self.now.steady_ms;
-        if self.member.control != WatchState::Watching {
+        let asked_anew = self.member.control_sent_ms != sent_ms;
+        if self.member.control != WatchState::Watching || asked_anew {
             return;
         }
         // The watch goes on from where it was, so that no change is missed.
--- /dev/null
+++ b/crates/core/src/pause.rs
@@ -0,0 +1,87 @@
+//! Pauses: this process stood still while its clocks ran on.
+//!
+//! Whatever it knew may be out of date: its lease may have run out, another may lead,
+//! and what it takes for silence was its own. A leader that wakes is in doubt until the
+//! state service has answered something that was sent after it woke; meanwhile it
+//! commands no worker and answers no report. Should the state service answer nobody, it
+//! goes on as one that is cut off: within the horizon, on which all safety rests.
+
+use crate::controller::Controller;
+use crate::member::Role;
+use crate::RequestId;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Waking {
+    Awake,
+    /// Stood still, and has not heard since whether it still leads.
+    Doubtful,
+}
+
+pub(crate) struct Pause {
+    waking: Waking,
+    /// When it last woke, and how often it has.
+    pub woke_ms: u64,
+    pub noticed: u64,
+    /// Reports that came meanwhile, and whether a sibling passed them on.
+    reports: Vec<(RequestId, Vec<u8>, bool)>,
+}
+
+/// Reports that may wait for the doubt to end.
+const REPORTS_MOST: usize = 1_000;
+
+impl Pause {
+    pub fn new() -> Self {
+        Pause { waking: Waking::Awake, woke_ms: 0, noticed: 0, reports: Vec::new() }
+    }
+}
+
+impl Controller {
+    /// The one function that changes whether this controller doubts what it knows.
+    fn waking_to(&mut self, waking: Waking) {
+        if std::mem::replace(&mut self.pause.waking, waking) == waking {
+            return;
+        }
+        if waking == Waking::Awake {
+            self.needs_orders.extend(self.machines.indexes());
+            for (id, body, passed_on) in std::mem::take(&mut self.pause.reports) {
+                self.on_checkin(id, body, passed_on);
+            }
+        }
+    }
+
+    /// More time has passed between two events than ever does while this runs.
+    pub(crate) fn woke(&mut self, gap_ms: u64) {
+        tracing::info!(for_ms = gap_ms, "stood still while the clocks ran on");
+        self.pause.woke_ms = self.now.steady_ms;
+        self.pause.noticed += 1;
+        self.machines.idle_later(gap_ms, self.now.steady_ms);
+        self.ask_anew();
+        if matches!(self.member.role, Role::Leading | Role::Restoring) {
+            self.waking_to(Waking::Doubtful);
+        }
+    }
+
+    pub(crate) fn in_doubt(&self) -> bool {
+        self.pause.waking == Waking::Doubtful
+    }
+
+    /// A report that can't be answered before it is known who leads.
+    pub(crate) fn hold_report(&mut self, id: RequestId, body: Vec<u8>, passed_on: bool) {
+        match self.pause.reports.len() < REPORTS_MOST {
+            true => self.pause.reports.push((id, body, passed_on)),
+            false => self.redirect(id),
+        }
+    }
+
+    /// Ends the doubt once something sent after waking has been answered, or nothing
+    /// has been for longer than an answer takes.
+    pub(crate) fn settle_doubt(&mut self) {
+        let woke = self.pause.woke_ms;
+        let cut_off = self.now.steady_ms >= woke + 2 * self.cfg.state_timeout_ms()
+            && !self.member.state_answered_since(woke);
+        let leads = matches!(self.member.role, Role::Leading | Role::Restoring);
+        if self.in_doubt() && (cut_off || !leads || self.member.view_known_since(woke)) {
+            self.waking_to(Waking::Awake);
+        }
+    }
+}
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -604,6 +604,81 @@
     w.keep_rules();
 }
 
+/// A cluster with a long array and a service that is spread, all running.
+fn busy_world(seed: u64) -> World {
+    let mut w = World::new(3, 6, 0.0, seed);
+    w.run(500);
+    w.run_ms.insert("wk-000001".into(), 7_000);
+    w.run_ms.insert("wk-000003".into(), 600_000);
+    let mut service = job("wk-000002", Shape::Service, 4);
+    service.spread = true;
+    w.submit_surely(&service);
+    w.submit_surely(&job("wk-000003", Shape::Array, 2));
+    w.submit_surely(&job("wk-000001", Shape::Array, 14));
+    w
+}
+
+/// Guards against a controller that stands still while its clocks run on, for less and
+/// for more than its lease and the workers', between rounds and in the midst of one, as
+/// leader or not: what is cancelled and submitted meanwhile is, and nothing runs twice.
+#[test]
+fn a_controller_stands_still() {
+    for (seed, pause) in [1_500, 2_500, 5_000, 9_000, 16_000, 25_000].into_iter().enumerate() {
+        for case in 0..8u64 {
+            let mut w = busy_world(1500 + 10 * seed as u64 + case);
+            w.run(400 * case);
+            let old = w.leader().unwrap();
+            let who = if case % 2 == 0 { old } else { (old + 1) % 3 };
+            match case / 2 % 2 {
+                0 => w.pause(who, pause),
+                _ => w.pause_in_round(who, pause),
+            }
+            // In some, it is paused again as soon as it has woken.
+            if case >= 4 {
+                w.run(pause + 30);
+                w.pause_in_round(who, pause);
+            }
+            let ask = w.abort((who + 1) % 3, "wk-000003");
+            w.run(300);
+            let spec = job("wk-000004", Shape::Array, 3);
+            w.submit((who + 2) % 3, &spec);
+            w.run(pause);
+            if w.status(ask) != 200 {
+                w.abort_surely("wk-000003");
+            }
+            w.submit_surely(&spec);
+            w.until_done("wk-000001", 60_000);
+            w.until_done("wk-000004", 60_000);
+            w.run(CANCEL_MS);
+            assert_eq!((w.on("wk-000002").len(), w.on("wk-000003").len()), (4, 0));
+            w.keep_rules();
+        }
+    }
+}
+
+/// Guards a leader that has stood still against going by what it knew: it commands no
+/// worker and answers no report before it knows the view again, and takes its own
+/// silence for nobody's.
+#[test]
+fn a_woken_leader_commands_nobody_before_it_knows_the_view() {
+    let mut w = busy_world(1600);
+    w.run(2_000);
+    let leader = w.leader().unwrap();
+    let told = w.wake_to_report(leader, 5_000, "vm-000001");
+    assert!(told.iter().any(|t| t.starts_with("/keys?starts=view")), "{told:?}");
+    let forbidden = |t: &String| t == "answer 200" || t == "/orders" || t == "/machines/return";
+    assert!(!told.iter().any(forbidden), "{told:?}");
+    // Others asleep for longer than any lease of theirs: it still leads, and work goes on.
+    let mut w = busy_world(1610);
+    let leader = w.leader().unwrap();
+    w.until(5_000, "all run", |w| w.on("wk-000001").len() >= 6);
+    let machines = w.workers.len();
+    (0..3).for_each(|n| w.pause(n, if n == leader { 3_000 } else { 9_000 }));
+    w.until_done("wk-000001", 60_000);
+    assert_eq!(w.workers.len(), machines, "no machine went back for our own silence");
+    w.keep_rules();
+}
+
 /// Guards healthy machines against jobs that were submitted with a mistake: these fail
 /// wherever they are tried, and are tried seldom, while other work goes on beside them
 /// and a machine that is truly faulty is still found.
@@ -668,7 +743,7 @@
             ids.push((id, spec));
             let node = rng.random_range(0..3);
             let how = if rng.random_bool(0.5) { Cut::Hold } else { Cut::Drop };
-            match rng.random_range(0..9) {
+            match rng.random_range(0..11) {
                 0 => w.kill_for(node, 3_000),
                 1 => (0..3).for_each(|n| w.kill_for(n, 2_000)),
                 2 => w.cut(End::Node(node), End::State, how),
@@ -683,6 +758,8 @@
                     w.workers.get_mut(&name).unwrap().hung_until =
                         w.now + rng.random_range(2_000..12_000);
                 }
+                8 => w.pause(node, rng.random_range(1_000..26_000)),
+                9 => w.pause_in_round(node, rng.random_range(1_000..26_000)),
                 7 => {
                     let names: Vec<String> = w.workers.keys().cloned().collect();
                     for name in names.iter().filter(|_| rng.random_bool(0.4)) {
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -46,6 +46,7 @@
     User { node: usize, ask: u64 },
     Boot { machine: String, zone: String },
     Restart { node: usize },
+    Wake { node: usize, life: u32 },
 }
 
 struct Entry {
@@ -124,6 +125,13 @@
     core: Controller,
     life: u32,
     open: HashMap<CallId, ()>,
+    /// It stands still until then; what comes meanwhile lies in its sockets.
+    paused_until: u64,
+    sockets: Vec<Event>,
+    /// Stands still for so long in the middle of its next round, and what that round
+    /// had decided and not done yet.
+    pause_next: Option<u64>,
+    undone: Vec<Action>,
 }
 
 pub struct Ask {
@@ -132,6 +140,7 @@
     pub body: Vec<u8>,
     /// The user had been told of the job before asking.
     told: bool,
+    sent_ms: u64,
     pub answer: Option<Response>,
 }
 
@@ -323,7 +332,15 @@
         let life = self.lives[n];
         let rng = SmallRng::seed_from_u64(self.seed * 100 + n as u64 * 10 + u64::from(life));
         let core = Controller::new(config, rng);
-        self.nodes[n] = Some(Node { core, life, open: HashMap::new() });
+        self.nodes[n] = Some(Node {
+            core,
+            life,
+            open: HashMap::new(),
+            paused_until: 0,
+            sockets: Vec::new(),
+            pause_next: None,
+            undone: Vec::new(),
+        });
         self.after(1, Msg::Tick { node: n, life });
     }
 
@@ -336,6 +353,23 @@
         self.after(ms, Msg::Restart { node: n });
     }
 
+    /// A controller stands still while its clocks run on.
+    pub fn pause(&mut self, n: usize, ms: u64) {
+        let until = self.now + ms;
+        if let Some(node) = self.nodes[n].as_mut() {
+            node.paused_until = until;
+            let life = node.life;
+            self.after(ms, Msg::Wake { node: n, life });
+        }
+    }
+
+    /// The same, between a round's decisions and their execution.
+    pub fn pause_in_round(&mut self, n: usize, ms: u64) {
+        if let Some(node) = self.nodes[n].as_mut() {
+            node.pause_next = Some(ms);
+        }
+    }
+
     pub fn cut(&mut self, a: End, b: End, how: Cut) {
         self.cuts.push((a, b, how));
     }
@@ -368,7 +402,14 @@
         let ask = self.asks.len();
         let mut parts = path.split('/');
         let told = parts.nth(3).is_some_and(|id| self.told.contains_key(id));
-        self.asks.push(Ask { method, path: path.into(), body, told, answer: None });
+        self.asks.push(Ask {
+            method,
+            path: path.into(),
+            body,
+            told,
+            sent_ms: self.now,
+            answer: None,
+        });
         self.after(1, Msg::User { node, ask: ask as u64 });
         ask
     }
@@ -490,6 +531,21 @@
                     self.after(25, Msg::Tick { node, life });
                 }
             }
+            Msg::Wake { node, life } => {
+                if !self.alive(node, life) {
+                    return;
+                }
+                let n = self.nodes[node].as_mut().unwrap();
+                if self.now < n.paused_until {
+                    return;
+                }
+                let (undone, sockets) =
+                    (std::mem::take(&mut n.undone), std::mem::take(&mut n.sockets));
+                self.carry_out(node, life, undone);
+                for event in sockets {
+                    self.feed(node, event);
+                }
+            }
             Msg::Restart { node } => {
                 if self.nodes[node].is_none() {
                     self.start(node);
@@ -559,9 +615,25 @@
 
     fn feed(&mut self, node: usize, event: Event) {
         let now = Now { steady_ms: self.now, wall_ms: 1_000_000 + self.now };
+        let at = self.now;
         let Some(n) = self.nodes[node].as_mut() else { return };
+        if at < n.paused_until {
+            if !matches!(event, Event::Tick) {
+                n.sockets.push(event);
+            }
+            return;
+        }
         let life = n.life;
         let actions = n.core.handle(now, event);
+        let busy = !actions.is_empty();
+        if let Some(ms) = n.pause_next.take_if(|_| busy) {
+            n.undone = actions;
+            return self.pause(node, ms);
+        }
+        self.carry_out(node, life, actions);
+    }
+
+    fn carry_out(&mut self, node: usize, life: u32, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Answer { id, response } => self.answered(node, life, id, response),
@@ -666,6 +738,10 @@
     }
 
     fn user_answer(&mut self, ask: usize, response: Response) {
+        let patience = if self.asks[ask].method == "GET" { 2_000 } else { 5_000 };
+        if self.now > self.asks[ask].sent_ms + patience {
+            return;
+        }
         let id = match self.asks[ask].path.as_str() {
             "/api/jobs" => {
                 from_cbor::<JobSpec>(&self.asks[ask].body).map(|s| s.id).unwrap_or_default()
@@ -1222,6 +1298,24 @@
         orders.map(|o| o.token).collect()
     }
 
+    /// What a node that has stood still does at once when the next thing that it sees is
+    /// a worker's report: answers by their status, calls by their target.
+    pub fn wake_to_report(&mut self, node: usize, slept_ms: u64, worker: &str) -> Vec<String> {
+        let body = to_cbor(&self.report_of(worker).unwrap());
+        let steady_ms = self.now + slept_ms;
+        let core = &mut self.nodes[node].as_mut().unwrap().core;
+        let (method, target) = ("POST".into(), "/checkin".into());
+        let request = Request { method, target, body, close: false };
+        let now = Now { steady_ms, wall_ms: 1_000_000 + steady_ms };
+        let mut actions = core.handle(now, Event::Client { id: u64::MAX, request });
+        actions.extend(core.handle(now, Event::Tick));
+        let told = actions.into_iter().map(|a| match a {
+            Action::Answer { response, .. } => format!("answer {}", response.status),
+            Action::Call(c) => c.target,
+        });
+        told.collect()
+    }
+
     /// How long a task runs.
     fn run_of(&self, task: &str) -> u64 {
         let job = task.rsplit_once('/').unwrap().0;
--- a/crates/quartzgate/src/daemon.rs
+++ b/crates/quartzgate/src/daemon.rs
@@ -21,6 +21,8 @@
 /// Tokens of connections come after those of the listeners.
 const FIRST: usize = 2;
 
+/// Connections that are looked at in one go.
+const EVENTS_MOST: usize = 1_024;
 /// How often time is told to the core.
 const TICK_MS: u64 = 25;
 /// How often connections are looked over for what has taken too long.
@@ -68,7 +70,8 @@
     requests: HashMap<RequestId, usize>,
     under_way: HashMap<CallId, UnderWay>,
     next_request: RequestId,
-    actions: VecDeque<Action>,
+    /// What is to be done, and when that was decided.
+    actions: VecDeque<(u64, Action)>,
     events: VecDeque<Event>,
     inbound: usize,
     outbound: usize,
@@ -143,11 +146,16 @@
     }
 
     fn serve(&mut self) -> io::Result<()> {
-        let mut events = Events::with_capacity(256);
+        let mut events = Events::with_capacity(EVENTS_MOST);
         let (mut tick_ms, mut look_ms) = (0, 0);
+        // When the sockets were last looked at.
+        let (mut looked_ms, mut away) = (self.now_ms(), false);
         loop {
             let now = self.now_ms();
-            if now >= tick_ms {
+            // After a pause of ours, what lies in the sockets is read before anything
+            // is called late, and before the core is told the time.
+            away = !away && now > looked_ms + LOOK_MS;
+            if now >= tick_ms && !away {
                 tick_ms = now + TICK_MS;
                 if now >= look_ms {
                     look_ms = now + LOOK_MS;
@@ -155,12 +163,13 @@
                 }
                 self.feed(Event::Tick);
             }
-            let wait = tick_ms.saturating_sub(self.now_ms()).max(1);
+            let wait = if away { 0 } else { tick_ms.saturating_sub(self.now_ms()).max(1) };
             if let Err(e) = self.poll.poll(&mut events, Some(Duration::from_millis(wait))) {
                 if e.kind() != io::ErrorKind::Interrupted {
                     return Err(e);
                 }
             }
+            looked_ms = self.now_ms();
             for event in &events {
                 match event.token() {
                     CLIENTS => self.accept(false),
@@ -182,11 +191,12 @@
         loop {
             if let Some(event) = self.events.pop_front() {
                 let now = self.now();
-                self.actions.extend(self.core.handle(now, event));
-            } else if let Some(action) = self.actions.pop_front() {
+                let actions = self.core.handle(now, event);
+                self.actions.extend(actions.into_iter().map(|a| (now.steady_ms, a)));
+            } else if let Some((decided_ms, action)) = self.actions.pop_front() {
                 match action {
                     Action::Answer { id, response } => self.answer(id, response),
-                    Action::Call(call) => self.start_call(call),
+                    Action::Call(call) => self.start_call(call, decided_ms),
                 }
             } else {
                 return;
@@ -256,6 +266,9 @@
         conn.active_ms = now;
         if let State::Connecting(call) = conn.state {
             if writable || readable {
+                if now >= conn.deadline_ms {
+                    return self.fail(n, Outcome::NotSent);
+                }
                 match conn.stream.peer_addr() {
                     Ok(_) if conn.stream.take_error().ok().flatten().is_none() => {
                         let deadline = conn.deadline_ms;
@@ -390,12 +403,18 @@
         }
     }
 
-    fn start_call(&mut self, call: Call) {
-        let deadline_ms = self.now_ms() + call.timeout_ms;
+    /// A call's time counts from when it was decided: one that we slept through is not
+    /// sent at all.
+    fn start_call(&mut self, call: Call, decided_ms: u64) {
+        let deadline_ms = decided_ms + call.timeout_ms;
         self.place_call(Waiting { call, deadline_ms });
     }
 
     fn place_call(&mut self, w: Waiting) {
+        if self.now_ms() >= w.deadline_ms {
+            let outcome = Outcome::NotSent;
+            return self.events.push_back(Event::Outcome { call: w.call.id, outcome });
+        }
         let peer = w.call.peer.clone();
         let addr = self.address_of(&peer);
         let mut request = Vec::with_capacity(w.call.body.len() + 160);
@@ -704,14 +723,16 @@
         let workers: Vec<SocketAddr> = (0..3 * most).map(|_| worker()).collect();
         for round in 0..3 {
             for (n, addr) in workers.iter().enumerate() {
-                daemon.start_call(Call {
+                let call = Call {
                     id: (round * workers.len() + n) as u64,
                     peer: Peer::Worker(*addr),
                     method: "POST",
                     target: "/orders".into(),
                     body: Vec::new(),
                     timeout_ms: 3_600_000,
-                });
+                };
+                let now = daemon.now_ms();
+                daemon.start_call(call, now);
             }
             let mut answered = 0;
             let mut events = Events::with_capacity(64);
