Writes that nothing waits for are patient; the lowest priority makes way for all others

Of 14 writes a second 40% recorded single ends of tasks that the job's end says anyway; and guests' long soaking tasks filled all room, which work of normal priority waited for. Ruled out: hires (all that the cloud had was rented), order of the queues (rank comes first). Now a chunk's record is written by urgency: probes by priority, guests' after them, ends of tasks last or after half a lease; chunks that are wholly done are folded several at a time; a takeover rewrites nothing that it only read. Normal work may stop the lowest, deals see that room, and nothing is hired for a guest while some of its work runs.

--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -273,7 +273,10 @@
     fn unmet(&self) -> Vec<Unmet> {
         let mut free: Vec<(String, Option<u16>, bool, Room)> = Vec::new();
         for (_, m) in self.machines.iter().filter(|(_, m)| m.usable()) {
-            free.push((m.kind.clone(), m.zone, m.spot, self.free_room(m)));
+            // What the lowest priority uses makes way.
+            let mut room = self.free_room(m);
+            room.add(&m.low, 1.0);
+            free.push((m.kind.clone(), m.zone, m.spot, room));
         }
         for c in self.cloud.coming.values() {
             if let Some(all) = self.capacity_of(&c.kind) {
@@ -317,6 +320,10 @@
             let undealt = undealt.min(allowed);
             extra[job.team] += f64::from(undealt) * job.spec.cpus;
             let mut wanting = job.asking(dealt + undealt);
+            // Guests use what is spare: nothing is hired for them while some of it runs.
+            if self.guest(job) {
+                wanting = wanting.min(u32::from(job.bound == 0));
+            }
             let need = job.room();
             if job.spec.spread {
                 out.extend(self.unmet_spread(job, wanting, &mut free));
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -167,6 +167,11 @@
         self.report_ms() / 10
     }
 
+    /// Longest time for which a write that nothing waits for makes way for others.
+    pub fn patience_ms(&self) -> u64 {
+        self.lease_ms() / 2
+    }
+
     pub fn team(&self, name: &str) -> Option<usize> {
         self.platform.params.teams.iter().position(|t| t.name == name)
     }
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -11,12 +11,12 @@
 
 use crate::controller::Controller;
 use crate::ids::{JobIx, MachineIx, TaskKey};
-use crate::jobs::{JobState, Probe, Task, TaskState};
+use crate::jobs::{Job, JobState, Probe, Task, TaskState};
 use crate::machines::{Machine, Room};
 use crate::records::CHUNK;
 
 /// Chunks of one job that may be under way at a time.
-const OPEN_CHUNKS: usize = 8;
+pub(crate) const OPEN_CHUNKS: usize = 16;
 /// Tasks dealt in one go; the rest follow at the next event.
 const DEAL_AT_ONCE: u32 = 256;
 
@@ -52,6 +52,12 @@
 }
 
 impl Controller {
+    /// Work without haste of a team without a guarantee: it uses what is spare.
+    pub(crate) fn guest(&self, job: &Job) -> bool {
+        let team = &self.cfg.platform.params.teams[job.team];
+        job.spec.rank == Rank::Low && team.cpus <= 0.0 && team.gpus <= 0.0
+    }
+
     pub(crate) fn capacity_of(&self, kind: &str) -> Option<Room> {
         let t = self.types.iter().find(|t| t.name == kind)?;
         Some(Room { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb })
@@ -156,6 +162,9 @@
                 let image = m.images.contains_key(&job.spec.image);
                 let fetch_s = self.fetch_s(&job.spec, &m.kind);
                 let mut yields = free;
+                if job.spec.rank == Rank::Normal {
+                    yields.add(&m.low, 1.0);
+                }
                 for k in m.tasks.keys().filter(|_| job.spec.rank >= Rank::High) {
                     let Some(j) = self.jobs.get(k.job) else { continue };
                     if j.spec.rank < job.spec.rank && j.spec.shape != Shape::Gang {
@@ -290,7 +299,7 @@
                 continue;
             }
             if !job.chunks.contains_key(&chunk) {
-                if job.chunks.len() >= OPEN_CHUNKS {
+                if job.chunks.values().filter(|c| !c.whole()).count() >= OPEN_CHUNKS {
                     break;
                 }
                 let len = job.chunk_len(chunk);
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -300,10 +300,12 @@
     /// cheapest loss first.
     pub(crate) fn preempt(&mut self) {
         let mut asking: Vec<(Rank, u64, TaskKey)> = Vec::new();
+        let on = self.jobs.iter().filter(|(_, j)| j.bound > 0);
+        let Some(lowest) = on.map(|(_, j)| j.spec.rank).min() else { return };
         for (ix, job) in self.jobs.iter() {
             let gang = job.spec.shape == Shape::Gang;
             let idle = job.waiting == 0 || job.mistaken();
-            if job.state != JobState::Live || idle || job.spec.rank < Rank::High || gang {
+            if job.state != JobState::Live || idle || job.spec.rank <= lowest || gang {
                 continue;
             }
             for (n, t) in job.tasks() {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use quartzgate_wire::msg::{JobAnswer, JobSpec, JobStatus, TaskStatus};
+use quartzgate_wire::msg::{JobAnswer, JobSpec, JobStatus, Rank, TaskStatus};
 
 use crate::blame::Trust;
 use crate::controller::Controller;
@@ -75,8 +75,9 @@
 #[derive(Clone, Debug)]
 pub struct Chunk {
     pub tasks: Vec<Task>,
-    /// The record lags behind memory.
+    /// The record lags behind memory, and since when.
     pub dirty: bool,
+    pub dirty_ms: u64,
     /// A write or a read of the record is under way.
     pub busy: bool,
     /// Waiting tasks were given machines that the record does not name yet.
@@ -87,6 +88,13 @@
     pub stamp: u64,
 }
 
+impl Chunk {
+    /// All of its tasks are done.
+    pub fn whole(&self) -> bool {
+        self.tasks.iter().all(|t| matches!(t.state, TaskState::Done { .. }))
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum JobState {
     /// The acceptance is being recorded.
@@ -304,7 +312,16 @@
                 }
             })
             .collect();
-        Chunk { tasks, dirty: false, busy: false, pressing: false, version: 0, acked: 0, stamp: 0 }
+        Chunk {
+            tasks,
+            dirty: false,
+            dirty_ms: 0,
+            busy: false,
+            pressing: false,
+            version: 0,
+            acked: 0,
+            stamp: 0,
+        }
     }
 
     /// The one function that changes a task's state. It keeps the machines' room,
@@ -313,6 +330,7 @@
         let now = self.now.steady_ms;
         let Some(job) = self.jobs.get_mut(key.job) else { return };
         let (room, team) = (job.room(), job.team);
+        let low = if job.spec.rank == Rank::Low { 1.0 } else { 0.0 };
         let Some(task) = job.task_mut(key.task) else { return };
         let old = std::mem::replace(&mut task.state, state);
         let moved = std::mem::discriminant(&old) != std::mem::discriminant(&state);
@@ -343,8 +361,9 @@
                 if let Some(m) = self.machines.get_mut(ix) {
                     m.tasks.remove(&key);
                     m.used.add(&room, -1.0);
+                    m.low.add(&room, -low);
                     if m.tasks.is_empty() {
-                        m.used = Room::default();
+                        (m.used, m.low) = Default::default();
                         m.idle_since_ms = now;
                     }
                 }
@@ -355,6 +374,7 @@
                 if let Some(m) = self.machines.get_mut(ix) {
                     m.tasks.insert(key, attempt);
                     m.used.add(&room, 1.0);
+                    m.low.add(&room, low);
                 }
             }
         }
@@ -491,7 +511,6 @@
             return;
         }
         let Some(chunk) = job.chunk_of(key.task) else { return };
-        chunk.dirty = true;
         let version = chunk.version + 1;
         let seen = matches!(
             chunk.tasks.get((key.task % CHUNK) as usize).map(|t| t.state),
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -98,6 +98,8 @@
     /// Tasks that an earlier owner may have started here.
     pub unproven: Vec<TaskKey>,
     pub used: Room,
+    /// The part of it that the lowest priority uses: it makes way for all others.
+    pub low: Room,
     pub idle_since_ms: u64,
     /// Starts bound here and not sent yet.
     pub outbox: Vec<(TaskKey, u64)>,
@@ -197,6 +199,7 @@
             wait_s: 0.0,
             unproven: Vec::new(),
             used: Room::default(),
+            low: Room::default(),
             idle_since_ms: now,
             outbox: Vec::new(),
             cut: false,
--- a/crates/core/src/restore.rs
+++ b/crates/core/src/restore.rs
@@ -251,8 +251,6 @@
                 self.task_to(key, state);
             }
         }
-        // A machine that has proven itself already says at once what it holds.
-        self.mark_dirty(ix, chunk);
         if let Some(job) = self.jobs.get_mut(ix) {
             job.next = 0;
         }
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -3,14 +3,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use quartzgate_wire::msg::{Change, Guard, Pair, Transaction, TransactionAnswer};
+use quartzgate_wire::msg::{Change, Guard, Pair, Rank, Transaction, TransactionAnswer};
 use quartzgate_wire::{from_cbor, to_cbor};
 
 use crate::budget::Budget;
 use crate::config::Config;
 use crate::controller::{leader_share, Controller, Pending};
+use crate::deal::OPEN_CHUNKS;
 use crate::ids::{JobIx, TaskKey};
-use crate::jobs::{JobState, TaskState};
+use crate::jobs::{Chunk, JobState, TaskState};
 use crate::records::{
     decode, encode, job_key, json_size, share_key, JobRecord, RecordedStatus, ShareRecord, VIEW,
 };
@@ -28,14 +29,38 @@
         job: JobIx,
         chunks: Vec<u32>,
     },
-    /// A chunk all of whose tasks are done is folded into the job's record.
+    /// Chunks all of whose tasks are done are folded into the job's record.
     Fold {
         job: JobIx,
-        chunk: u32,
+        chunks: Vec<u32>,
     },
     Inbox(String),
 }
 
+/// What waits for a chunk's record, most urgent first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// Tasks that may start once it stands.
+    Pressing(std::cmp::Reverse<Rank>),
+    /// The same, of a team without a guarantee that has no haste.
+    Guest,
+    /// Ends of tasks, unrecorded for long.
+    Late,
+    /// Ends of tasks: nothing waits for them, and the job's end will say it all.
+    Patient,
+}
+
+impl Urgency {
+    /// Share of a second's writes that is left to what is more pressing.
+    fn reserve(self) -> f64 {
+        match self {
+            Urgency::Pressing(_) => 0.25,
+            Urgency::Guest | Urgency::Late => 0.5,
+            Urgency::Patient => 0.75,
+        }
+    }
+}
+
 pub(crate) struct Store {
     pub writes: Budget,
     dirty: BTreeSet<(JobIx, u32)>,
@@ -47,6 +72,8 @@
     since_ms: Option<u64>,
 }
 
+/// Chunks that are folded in one write, if there are so many.
+const FOLD_LEAST: usize = 4;
 /// The state service takes transactions up to this size.
 const TXN_BYTES: usize = 60 * 1024;
 
@@ -74,10 +101,12 @@
 impl Controller {
     pub(crate) fn mark_dirty(&mut self, job: JobIx, chunk: u32) {
         if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
-            c.dirty = true;
+            let now = self.now.steady_ms;
+            if !std::mem::replace(&mut c.dirty, true) {
+                c.dirty_ms = now;
+            }
             self.store.dirty.insert((job, chunk));
             self.store.jobs.insert(job);
-            let now = self.now.steady_ms;
             self.store.since_ms.get_or_insert(now);
         }
     }
@@ -107,10 +136,12 @@
         let mut items = Vec::new();
         let mut bytes = 0;
         self.gather_ends(&mut txn, &mut items, room, &mut bytes);
-        let mut dirty: Vec<(JobIx, u32)> = self.store.dirty.iter().copied().collect();
-        dirty.sort_by_key(|k| !self.pressing(*k));
-        for (ix, chunk) in dirty {
-            if txn.apply.len() >= room || bytes > TXN_BYTES {
+        let mut dirty: Vec<(Urgency, JobIx, u32)> =
+            self.store.dirty.iter().map(|(ix, c)| (self.urgency(*ix, *c), *ix, *c)).collect();
+        dirty.sort();
+        for (urgency, ix, chunk) in dirty {
+            let left = self.store.writes.room(now, urgency.reserve()) as usize;
+            if txn.apply.len() >= room.min(left) || bytes > TXN_BYTES {
                 break;
             }
             let Some(job) = self.jobs.get(ix) else {
@@ -118,7 +149,10 @@
                 continue;
             };
             let ended = matches!(job.state, JobState::Done | JobState::Finishing);
-            let Some(c) = job.chunks.get(&chunk).filter(|c| c.dirty && !ended) else {
+            // A chunk that is wholly done is folded, which says it all.
+            let folds = |c: &Chunk| job.chunk_count() > 1 && c.stamp > 0 && c.whole();
+            let dirty = |c: &&Chunk| c.dirty && !ended && !folds(c);
+            let Some(c) = job.chunks.get(&chunk).filter(dirty) else {
                 self.store.dirty.remove(&(ix, chunk));
                 continue;
             };
@@ -156,7 +190,8 @@
             items.push(FlushItem::Inbox(path));
         }
         if items.is_empty() {
-            self.store.since_ms = None;
+            // What is left is patient, or has to wait for something under way.
+            self.store.since_ms = (!self.store.dirty.is_empty()).then_some(now);
             return;
         }
         self.store.since_ms =
@@ -172,6 +207,19 @@
         self.jobs.get(job).and_then(|j| j.chunks.get(&chunk)).is_some_and(|c| c.pressing)
     }
 
+    /// How soon a chunk's record should be written.
+    fn urgency(&self, job: JobIx, chunk: u32) -> Urgency {
+        let Some(j) = self.jobs.get(job) else { return Urgency::Patient };
+        let Some(c) = j.chunks.get(&chunk) else { return Urgency::Patient };
+        let late = self.now.steady_ms >= c.dirty_ms + self.cfg.patience_ms();
+        match (c.pressing, self.guest(j)) {
+            (true, false) => Urgency::Pressing(std::cmp::Reverse(j.spec.rank)),
+            (true, true) => Urgency::Guest,
+            (false, _) if late => Urgency::Late,
+            (false, _) => Urgency::Patient,
+        }
+    }
+
     /// Ends of jobs whose tasks are all done, and of aborted ones that are gone.
     fn gather_ends(
         &mut self,
@@ -216,11 +264,7 @@
             let key = job_key(&job.id);
             txn.guards.push(Guard { path: key.clone(), stamp: job.stamp });
             txn.apply.push(Change::Set { set: key, value: encode(&record), permit: None });
-            for c in &chunks {
-                let path = share_key(&job.id, *c);
-                txn.guards.push(Guard { path: path.clone(), stamp: job.chunks[c].stamp });
-                txn.apply.push(Change::Delete { delete: path });
-            }
+            self.gather_shares(ix, &chunks, txn);
             *bytes += 300 + 200 * chunks.len();
             self.store.jobs.remove(&ix);
             if let Some(j) = self.jobs.get_mut(ix) {
@@ -233,6 +277,16 @@
         }
     }
 
+    /// Removes shares of a job.
+    fn gather_shares(&self, ix: JobIx, chunks: &[u32], txn: &mut Transaction) {
+        let Some(job) = self.jobs.get(ix) else { return };
+        for c in chunks {
+            let path = share_key(&job.id, *c);
+            txn.guards.push(Guard { path: path.clone(), stamp: job.chunks[c].stamp });
+            txn.apply.push(Change::Delete { delete: path });
+        }
+    }
+
     /// Large jobs: chunks that are wholly done move into the job's own record.
     fn gather_fold(
         &mut self,
@@ -246,17 +300,18 @@
             self.store.jobs.remove(&ix);
             return;
         }
-        let whole = job.chunks.iter().find(|(_, c)| {
-            !c.busy
-                && c.stamp > 0
-                && c.tasks.iter().all(|t| matches!(t.state, TaskState::Done { .. }))
-        });
-        let Some((&chunk, c)) = whole else {
+        let foldable = |c: &Chunk| !c.busy && c.stamp > 0 && c.whole();
+        let whole = job.chunks.iter().filter(|(_, c)| foldable(c)).map(|(n, _)| *n);
+        let space = room.saturating_sub(txn.apply.len() + 1);
+        let chunks: Vec<u32> = whole.take(space).collect();
+        // The job's record is written once for them all: a few are gathered first.
+        let few = chunks.len() < FOLD_LEAST.min(space);
+        if chunks.is_empty() || few && job.chunks.len() < OPEN_CHUNKS + FOLD_LEAST {
             self.store.jobs.remove(&ix);
             return;
-        };
-        let folded = job.done_chunks.iter().flat_map(|(a, b)| *a..=*b).chain([chunk]);
-        let mut folded: Vec<u32> = folded.collect();
+        }
+        let folded = job.done_chunks.iter().flat_map(|(a, b)| *a..=*b);
+        let mut folded: Vec<u32> = folded.chain(chunks.iter().copied()).collect();
         folded.sort_unstable();
         let record = JobRecord {
             status: RecordedStatus::Live,
@@ -264,15 +319,14 @@
             at_ms: job.at_ms,
             done_chunks: crate::records::ranges(folded),
         };
-        let (key, path) = (job_key(&job.id), share_key(&job.id, chunk));
+        let key = job_key(&job.id);
         txn.guards.push(Guard { path: key.clone(), stamp: job.stamp });
-        txn.guards.push(Guard { path: path.clone(), stamp: c.stamp });
         txn.apply.push(Change::Set { set: key, value: encode(&record), permit: None });
-        txn.apply.push(Change::Delete { delete: path });
+        self.gather_shares(ix, &chunks, txn);
         if let Some(j) = self.jobs.get_mut(ix) {
             j.busy = true;
         }
-        items.push(FlushItem::Fold { job: ix, chunk });
+        items.push(FlushItem::Fold { job: ix, chunks });
     }
 
     pub(crate) fn on_flush(&mut self, items: Vec<FlushItem>, outcome: Outcome) {
@@ -337,12 +391,12 @@
                     self.drop_job(job);
                 }
             }
-            FlushItem::Fold { job, chunk } => {
+            FlushItem::Fold { job, chunks } => {
                 let Some(j) = self.jobs.get_mut(job) else { return };
                 (j.busy, j.stamp) = (false, rev);
-                j.chunks.remove(&chunk);
+                j.chunks.retain(|c, _| !chunks.contains(c));
                 let mut all: Vec<u32> =
-                    j.done_chunks.iter().flat_map(|(a, b)| *a..=*b).chain([chunk]).collect();
+                    j.done_chunks.iter().flat_map(|(a, b)| *a..=*b).chain(chunks).collect();
                 all.sort_unstable();
                 j.done_chunks = crate::records::ranges(all);
                 self.store.touch_job(job);
@@ -372,7 +426,8 @@
         match item {
             FlushItem::Chunk { job, chunk } => {
                 if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
-                    c.busy = false;
+                    // It may have held what tasks wait for.
+                    (c.busy, c.pressing) = (false, true);
                 }
                 self.mark_dirty(job, chunk);
             }
@@ -394,15 +449,12 @@
         if let FlushItem::Inbox(path) = &item {
             return self.store.clear_inbox(path.clone());
         }
-        // Shares that an end removes are looked at as well.
-        if let FlushItem::End { job, chunks } = &item {
+        // Shares that an end or a fold removes are looked at as well.
+        if let FlushItem::End { job, chunks } | FlushItem::Fold { job, chunks } = &item {
             for &chunk in chunks {
                 self.restamp(FlushItem::Chunk { job: *job, chunk });
             }
         }
-        if let FlushItem::Fold { job, chunk } = &item {
-            self.restamp(FlushItem::Chunk { job: *job, chunk: *chunk });
-        }
         if let FlushItem::Chunk { job, chunk } = &item {
             if let Some(c) = self.jobs.get_mut(*job).and_then(|j| j.chunks.get_mut(chunk)) {
                 c.busy = true;
@@ -447,6 +499,7 @@
                 }
                 if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
                     (c.busy, c.stamp) = (false, pair.map_or(0, |p| p.stamp));
+                    c.pressing = true;
                 }
                 self.mark_dirty(job, chunk);
             }
