--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -153,7 +153,10 @@
                     if now < m.no_room_until_ms { Room::default() } else { all.minus(&m.used) };
                 let mut spare = free;
                 // What is full stays full, whatever its queue has spoken for.
-                for key in m.queue.iter().filter(|_| free.fits(&need)) {
+                for key in &m.queue {
+                    if !spare.fits(&need) {
+                        break;
+                    }
                     let job = self.jobs.get(key.job).filter(|j| !j.mistaken());
                     let Some(j) = job else { continue };
                     let probes = j.task(key.task).map_or(1, |t| t.probes.len()).max(1);
@@ -269,7 +272,7 @@
             return false;
         }
         let (team, need, spec) = (job.team, job.room(), job.spec.clone());
-        if !self.licence(team, &need) {
+        if !self.licence(team, &need) || !job.may_open() {
             return false;
         }
         let mut list = self.candidates(ix);
@@ -299,7 +302,7 @@
                 continue;
             }
             if !job.chunks.contains_key(&chunk) {
-                if job.chunks.values().filter(|c| !c.whole()).count() >= OPEN_CHUNKS {
+                if !job.may_open() {
                     break;
                 }
                 let len = job.chunk_len(chunk);
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -330,14 +330,15 @@
         let need = job.room();
         let mut best: Option<(f64, MachineIx, Vec<TaskKey>)> = None;
         for p in &task.probes {
-            if !self.startable(job, key, task, p.machine) {
-                continue;
-            }
-            let Some(m) = self.machines.get(p.machine) else { continue };
-            if !m.usable() {
+            let Some(m) = self.machines.get(p.machine).filter(|m| m.usable()) else { continue };
+            let mut room = self.free_room(m);
+            // Below high priority only the lowest makes way.
+            let mut most = room;
+            most.add(&m.low, 1.0);
+            let hopeless = rank == Rank::Normal && !most.fits(&need);
+            if hopeless || !self.startable(job, key, task, p.machine) {
                 continue;
             }
-            let mut room = self.free_room(m);
             let mut victims: Vec<(f64, TaskKey, Room)> = Vec::new();
             for k in m.tasks.keys() {
                 let Some(j) = self.jobs.get(k.job) else { continue };
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -7,6 +7,7 @@
 
 use crate::blame::Trust;
 use crate::controller::Controller;
+use crate::deal::OPEN_CHUNKS;
 use crate::ids::{JobIx, MachineIx, TaskKey};
 use crate::machines::{MachineState, Room};
 use crate::records::{ranges, ProbeSet, RecordedStatus, ShareRecord, CHUNK};
@@ -197,6 +198,12 @@
         (self.spec.tasks - chunk * CHUNK).min(CHUNK)
     }
 
+    /// Whether its next task may be dealt: its chunk is open, or another may be opened.
+    pub fn may_open(&self) -> bool {
+        self.chunks.contains_key(&(self.next / CHUNK))
+            || self.chunks.values().filter(|c| !c.whole()).count() < OPEN_CHUNKS
+    }
+
     /// How many chunks the job's tasks make.
     pub fn chunk_count(&self) -> u32 {
         self.spec.tasks.div_ceil(CHUNK)
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -444,13 +444,14 @@
         for r in reported.iter().filter(|r| !exited(r)) {
             listed.extend(self.reported_task(ix, r));
         }
+        listed.sort_unstable();
         // What the machine does not list is not on it, if nothing of ours is under way.
         let Some(m) = self.machines.get_mut(ix) else { return };
         let outbox: Vec<TaskKey> = m.outbox.iter().map(|(k, _)| *k).collect();
         let missing: Vec<(TaskKey, u64)> = m
             .tasks
             .iter()
-            .filter(|(k, _)| !listed.contains(k) && !outbox.contains(k))
+            .filter(|(k, _)| listed.binary_search(k).is_err() && !outbox.contains(k))
             .map(|(k, a)| (*k, *a))
             .collect();
         for (key, _) in missing {
@@ -493,7 +494,6 @@
         let job_ix = self.jobs.find(job_id)?;
         let key = TaskKey { job: job_ix, task: n };
         let job = self.jobs.get(job_ix)?;
-        let image = job.spec.image.clone();
         let service = job.spec.shape == Shape::Service;
         let state = job.task(n)?.state;
         let mine = state.machine() == Some((ix, r.attempt));
@@ -529,8 +529,9 @@
         }
         let now = self.now.steady_ms;
         if r.status != TaskStatus::Fetching {
-            if let Some(m) = self.machines.get_mut(ix) {
-                m.images.insert(image, now);
+            let image = &self.jobs.get(job_ix)?.spec.image;
+            if let Some(m) = self.machines.get_mut(ix).filter(|m| !m.images.contains_key(image)) {
+                m.images.insert(image.clone(), now);
             }
         }
         match state {
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -70,6 +70,8 @@
     flushing: bool,
     /// When the oldest unwritten change was made.
     since_ms: Option<u64>,
+    /// When it was last looked at what there is to write.
+    looked_ms: u64,
 }
 
 /// Chunks that are folded in one write, if there are so many.
@@ -86,6 +88,7 @@
             inbox: BTreeSet::new(),
             flushing: false,
             since_ms: None,
+            looked_ms: 0,
         }
     }
 
@@ -117,9 +120,10 @@
         let nothing = self.store.dirty.is_empty()
             && self.store.jobs.is_empty()
             && self.store.inbox.is_empty();
-        if self.store.flushing || nothing {
+        if self.store.flushing || nothing || now < self.store.looked_ms + self.cfg.batch_ms() / 10 {
             return;
         }
+        self.store.looked_ms = now;
         // A little is gathered first; deals that make room usable don't wait.
         let due = self.store.since_ms.is_none_or(|s| now >= s + self.cfg.batch_ms());
         if !due && !self.store.dirty.iter().any(|k| self.pressing(*k)) {
