Questions that come in a short while share one fresh read

Cause: each question about a live job was a read of its record; with users asking eight times as often they took the reads that leases and records need, and many were told to come back. Now the leader gathers questions for a fortieth of a report round and sends one transaction that changes nothing and compares the stamps of all jobs asked about with those that memory rests on. Story: questions_share_fresh_reads.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -14,6 +14,7 @@
 use crate::controller::{Controller, Pending, UserWork};
 use crate::ids::JobIx;
 use crate::jobs::JobState;
+use crate::polls::live_answer;
 use crate::records::{
     decode, encode, inbox_key, job_key, share_key, JobRecord, RecordedStatus, INBOX,
 };
@@ -331,12 +332,7 @@
         }
     }
 
-    /// Answers with a job's state after a fresh read.
-    fn poll(&mut self, id: RequestId, job: String) {
-        self.read_job(id, &job, Pending::Poll { request: id, id: job.clone() });
-    }
-
-    fn read_job(&mut self, id: RequestId, job: &str, pending: Pending) {
+    pub(crate) fn read_job(&mut self, id: RequestId, job: &str, pending: Pending) {
         if !self.may_read() {
             return self.answer_busy(id);
         }
@@ -379,17 +375,13 @@
         match record.status {
             RecordedStatus::Live => {
                 let known = self.adopt(job, record, pair.stamp);
-                let answer = known.and_then(|ix| self.jobs.get(ix)).map(|j| j.answer());
-                let answer = match answer {
-                    // Ends are told only once they are on record.
-                    Some(a) if matches!(a.status, JobStatus::Queued | JobStatus::Running) => a,
-                    _ => JobAnswer {
-                        id: job.to_string(),
-                        status: JobStatus::Running,
-                        done: None,
-                        running: None,
-                    },
-                };
+                let answer = known.and_then(|ix| self.jobs.get(ix)).map(live_answer);
+                let answer = answer.unwrap_or_else(|| JobAnswer {
+                    id: job.to_string(),
+                    status: JobStatus::Running,
+                    done: None,
+                    running: None,
+                });
                 self.answer(id, Response::new(200, to_cbor(&answer)));
             }
             ended => {
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -1,6 +1,6 @@
 //! The controller: one value that takes events and gives actions.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use quartzgate_wire::http::Response;
 use quartzgate_wire::msg::{ErrorAnswer, JobSpec, MachineType, Report};
@@ -17,6 +17,7 @@
 use crate::machines::{Machines, Room};
 use crate::member::{Member, Role};
 use crate::pause::Pause;
+use crate::polls::Polls;
 use crate::post::PostBox;
 use crate::records::RecordedStatus;
 use crate::restore::Restore;
@@ -51,6 +52,7 @@
     AbortAlone { request: RequestId, id: String },
     Known { request: RequestId, spec: Box<JobSpec> },
     Poll { request: RequestId, id: String },
+    Compare { asked: BTreeMap<JobIx, Vec<RequestId>>, epoch: u64 },
     Forward { request: RequestId, sibling: usize, work: Box<UserWork> },
     Beat { sibling: usize },
     Relay { request: RequestId, report: Box<Report> },
@@ -116,6 +118,7 @@
     pub(crate) member: Member,
     pub(crate) finals: Finals,
     pub(crate) keeper: Keeper,
+    pub(crate) polls: Polls,
     pub(crate) post: PostBox,
     pub(crate) pause: Pause,
     pub(crate) types: Vec<MachineType>,
@@ -164,6 +167,7 @@
             member,
             finals: Finals::default(),
             keeper: Keeper::new(),
+            polls: Polls::default(),
             post: PostBox::default(),
             pause: Pause::new(),
             types: Vec::new(),
@@ -223,6 +227,7 @@
         self.tick_keeper();
         self.tick_restore();
         self.tick_post();
+        self.tick_polls();
         if !self.leads() {
             return;
         }
@@ -296,6 +301,7 @@
             Pending::AbortRead { request, id } => self.on_abort_read(request, id, outcome),
             Pending::AbortAlone { request, id } => self.on_abort_alone(request, id, outcome),
             Pending::Known { request, spec } => self.on_known(request, *spec, outcome),
+            Pending::Compare { asked, epoch } => self.on_compare(asked, epoch, outcome),
             Pending::Poll { request, id } => self.on_poll_read(request, id, outcome),
             Pending::Forward { request, sibling, work } => {
                 self.on_forwarded(request, sibling, *work, outcome)
@@ -396,6 +402,7 @@
     }
 
     pub(crate) fn forget_leadership(&mut self) {
+        self.drop_polls();
         self.jobs = Jobs::default();
         self.machines = Machines::default();
         self.teams.iter_mut().for_each(|t| *t = TeamUse::default());
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 mod machines;
 mod member;
 mod pause;
+mod polls;
 mod post;
 pub mod queue;
 pub mod records;
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -604,6 +604,40 @@
     w.keep_rules();
 }
 
+/// Guards questions that come many times as often: they share fresh reads, none goes
+/// unanswered, and an end that was decided elsewhere is not missed.
+#[test]
+fn questions_share_fresh_reads() {
+    let mut w = World::new(3, 4, 0.0, 1650);
+    w.run(500);
+    let ids: Vec<String> = (1..6).map(|n| format!("wk-00000{n}")).collect();
+    for id in &ids {
+        w.run_ms.insert(id.clone(), 600_000);
+        w.submit_surely(&job(id, Shape::Array, 1));
+    }
+    let leader = w.leader().unwrap();
+    let (reads, mut asks) = (w.state.requests, Vec::new());
+    for _ in 0..200 {
+        asks.extend(ids.iter().map(|id| w.poll(leader, id)));
+        w.run(10);
+    }
+    w.run(1_000);
+    assert!(asks.iter().all(|a| w.status(*a) == 200));
+    assert!(w.state.requests - reads < 300, "{} reads", w.state.requests - reads);
+    // An abort that the leader can't have heard of is found by the very next question.
+    w.cut(End::Node(leader), End::Node((leader + 1) % 3), Cut::Drop);
+    w.cut(End::Node(leader), End::Node((leader + 2) % 3), Cut::Drop);
+    w.until(10_000, "aborted past the leader", |w| w.leader() == Some(leader));
+    let abort = w.abort((leader + 1) % 3, &ids[0]);
+    w.run(3_000);
+    assert_eq!(w.status(abort), 200);
+    let ask = w.poll(leader, &ids[0]);
+    w.run(500);
+    assert_eq!(w.status(ask), 200);
+    assert_eq!(w.told.get(&ids[0]), Some(&JobStatus::Aborted));
+    w.keep_rules();
+}
+
 /// A cluster with a long array and a service that is spread, all running.
 fn busy_world(seed: u64) -> World {
     let mut w = World::new(3, 6, 0.0, seed);
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -85,6 +85,7 @@
     /// Transactions are executed, but the next so many answers are lost.
     pub swallow_answers: u32,
     pub writes: u64,
+    pub requests: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -794,6 +795,7 @@
     // The state service.
 
     fn state_call(&mut self, from: usize, life: u32, call: Call) {
+        self.state.requests += 1;
         self.expire_leases();
         let watch = call.target.starts_with("/changes");
         if self.state.down || self.state.refuses.contains(&from) {
