--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -617,24 +617,6 @@
             Verdict::Never("a task fits no allowed machine type")
         }
     }
-
-    /// Figures for operators, as CBOR.
-    pub(crate) fn metrics(&self) -> Vec<u8> {
-        let mut waiting = 0;
-        let mut on = 0;
-        for (_, j) in self.jobs.iter() {
-            waiting += j.waiting;
-            on += j.on;
-        }
-        to_cbor(&std::collections::BTreeMap::from([
-            ("epoch", self.epoch()),
-            ("leads", u64::from(self.leads())),
-            ("jobs", self.jobs.len() as u64),
-            ("tasks_waiting", u64::from(waiting)),
-            ("tasks_on_machines", u64::from(on)),
-            ("machines", self.machines.iter().count() as u64),
-        ]))
-    }
 }
 
 impl UserWork {
--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -73,6 +73,13 @@
     }
 }
 
+impl Cloud {
+    /// Machines that were rented and have not reported yet.
+    pub fn expected(&self) -> usize {
+        self.coming.len()
+    }
+}
+
 /// Demand of one job that no machine has room for now.
 struct Unmet {
     spec: JobSpec,
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -245,6 +245,7 @@
             self.retry_inbox();
             self.deal_due = true;
             self.touch_waiting();
+            self.log_pulse();
             self.preempt_due = true;
         }
         if now >= self.round_at_ms {
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -19,6 +19,29 @@
     max: f64,
 }
 
+impl Ratios {
+    pub fn highest(&self) -> f64 {
+        self.max
+    }
+
+    pub fn named(&self) -> Vec<(String, f64)> {
+        self.by_constraint.iter().map(|(c, ratio)| (c.to_string(), *ratio)).collect()
+    }
+}
+
+impl std::fmt::Display for Constraint {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Constraint::Cpu => f.write_str("cpu"),
+            Constraint::Gpu => f.write_str("gpu"),
+            Constraint::Memory => f.write_str("memory"),
+            Constraint::Kind(name) => write!(f, "type.{name}"),
+            Constraint::Zone(name) => write!(f, "zone.{name}"),
+            Constraint::Ordinary => f.write_str("no_spot"),
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Constraint {
     Cpu,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 mod keeper;
 mod machines;
 mod member;
+mod metrics;
 mod pause;
 mod polls;
 mod post;
--- /dev/null
+++ b/crates/core/src/metrics.rs
@@ -0,0 +1,78 @@
+//! Figures for operators: `GET /metrics` on the mesh address, and a line a second in
+//! the debug log.
+
+use std::collections::BTreeMap;
+
+use quartzgate_wire::to_cbor;
+
+use crate::controller::Controller;
+use crate::machines::MachineState;
+
+impl Controller {
+    /// All figures by name, as CBOR.
+    pub(crate) fn metrics(&mut self) -> Vec<u8> {
+        to_cbor(&self.figures())
+    }
+
+    fn figures(&mut self) -> BTreeMap<String, f64> {
+        let now = self.now.steady_ms;
+        let mut all: BTreeMap<String, f64> = BTreeMap::new();
+        let mut put = |name: &str, value: f64| {
+            all.insert(name.to_string(), value);
+        };
+        put("epoch", self.epoch() as f64);
+        put("leads", f64::from(u8::from(self.leads())));
+        put("in_doubt", f64::from(u8::from(self.in_doubt())));
+        put("pauses_noticed", self.pause.noticed as f64);
+        let (mut waiting, mut on, mut mistaken) = (0, 0, 0);
+        for (_, j) in self.jobs.iter() {
+            waiting += j.waiting;
+            on += j.on;
+            mistaken += u32::from(j.mistaken());
+        }
+        put("jobs", self.jobs.len() as f64);
+        put("jobs_mistaken", f64::from(mistaken));
+        put("tasks_waiting", f64::from(waiting));
+        put("tasks_on_machines", f64::from(on));
+        let (mut queued, mut longest, mut wait_s, mut quarantined) = (0, 0, 0.0f64, 0);
+        let mut states = [0u32; 6];
+        for (_, m) in self.machines.iter() {
+            states[m.state as usize] += 1;
+            quarantined += u32::from(m.quarantined);
+            queued += m.queue.len();
+            longest = longest.max(m.queue.len());
+            wait_s = wait_s.max(m.wait_s);
+        }
+        let state = |s: MachineState| f64::from(states[s as usize]);
+        put("machines", states.iter().sum::<u32>().into());
+        put("machines_unheard", state(MachineState::Unheard) + state(MachineState::Greeted));
+        put("machines_ready", state(MachineState::Ready));
+        put("machines_presumed_empty", state(MachineState::Presumed));
+        put("machines_returning", state(MachineState::Returning));
+        put("machines_quarantined", f64::from(quarantined));
+        put("machines_expected", self.cloud.expected() as f64);
+        put("probes_queued", queued as f64);
+        put("queue_longest", longest as f64);
+        put("wait_longest_s", wait_s);
+        put("ratio_highest", self.ratios.highest());
+        put("writes_left", self.store.writes.room(now, 0.0));
+        put("reads_left", self.member.reads.room(now, 0.0));
+        put("records_behind", self.store.behind() as f64);
+        for (constraint, ratio) in self.ratios.named() {
+            put(&format!("ratio.{constraint}"), ratio);
+        }
+        all
+    }
+
+    /// How things stand, for someone who reads the log.
+    pub(crate) fn log_pulse(&mut self) {
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let figures = self.figures();
+            let shown = figures.iter().filter(|(name, value)| {
+                **value != 0.0 && !name.starts_with("ratio.") && *name != "leads"
+            });
+            let line: Vec<String> = shown.map(|(n, v)| format!("{n}={v:.1}")).collect();
+            tracing::debug!("pulse {}", line.join(" "));
+        }
+    }
+}
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Records that memory is ahead of.
+    pub fn behind(&self) -> usize {
+        self.dirty.len()
+    }
+
     pub fn touch_job(&mut self, ix: JobIx) {
         self.jobs.insert(ix);
     }
