A leader cut from the workers orders by the sibling that relays them; strays are taken in

Reports came by way of the followers, so that nothing looked silent; every order failed, and nothing started on 253 ready machines. Workers of the leader's zone that tried a follower of the other zone were sent back to the leader, hung for 4 s and came again, until their leases ran out (369 tasks). Now orders for a machine that can't be told directly go to the sibling that passes its reports on; a follower takes workers of any zone in, and sends those of other zones on after two leases. Story: a_leader_cut_from_the_workers_goes_by_its_siblings.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -32,7 +32,7 @@
     pub(crate) fn on_client(&mut self, id: RequestId, request: Request) {
         let path = request.target.split('?').next().unwrap_or("");
         match (request.method.as_str(), path) {
-            ("POST", "/checkin") => self.on_checkin(id, request.body, false),
+            ("POST", "/checkin") => self.on_checkin(id, request.body, None),
             ("GET", "/ready") => {
                 if self.ready() {
                     self.answer(id, Response::new(200, Vec::new()))
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -34,6 +34,7 @@
     KeepRead { job: String, sent_ms: u64 },
     Post { ids: Vec<u64> },
     HandedOn { sibling: usize, id: u64 },
+    OrdersRelayed { request: RequestId },
     ReadAgain { job: String, epoch: u64 },
     ControlRead { sent_ms: u64 },
     ControlWatch { sent_ms: u64 },
@@ -120,6 +121,9 @@
     pub(crate) keeper: Keeper,
     pub(crate) polls: Polls,
     pub(crate) post: PostBox,
+    /// Workers of other zones: since when they report here, and when they were last sent
+    /// to the leader.
+    pub(crate) strays: HashMap<String, (u64, u64)>,
     pub(crate) pause: Pause,
     pub(crate) types: Vec<MachineType>,
     pub(crate) types_at_ms: Option<u64>,
@@ -169,6 +173,7 @@
             keeper: Keeper::new(),
             polls: Polls::default(),
             post: PostBox::default(),
+            strays: HashMap::new(),
             pause: Pause::new(),
             types: Vec::new(),
             types_at_ms: None,
@@ -295,6 +300,7 @@
             Pending::KeepRead { job, sent_ms } => self.on_keep_read(job, sent_ms, outcome),
             Pending::Post { ids } => self.on_post_written(ids, outcome),
             Pending::HandedOn { sibling, id } => self.on_handed_on(sibling, id, outcome),
+            Pending::OrdersRelayed { request } => self.on_orders_relayed(request, outcome),
             Pending::ControlRead { sent_ms } => self.on_control_read(sent_ms, outcome),
             Pending::ControlWatch { sent_ms } => self.on_control_watch(sent_ms, outcome),
             Pending::Elect { epoch } => self.on_elect(epoch, outcome),
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -15,6 +15,7 @@
 use crate::controller::{Controller, Pending};
 use crate::ids::{epoch_of, in_epoch, parse_task, task_name, JobIx, MachineIx, TaskKey};
 use crate::jobs::{JobState, TaskState};
+use crate::post::Letter;
 use crate::{Outcome, Peer, RequestId};
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -103,8 +104,11 @@
     pub idle_since_ms: u64,
     /// Starts bound here and not sent yet.
     pub outbox: Vec<(TaskKey, u64)>,
-    /// The last call to it was not answered.
+    /// The last call to it was not answered, and since when that has been so.
     pub cut: bool,
+    pub cut_ms: u64,
+    /// The sibling that passes its reports on, by its place in the settings.
+    pub relayer: Option<usize>,
     /// The keeper that posts its reports, by its place in the settings.
     pub via: Option<usize>,
     /// A call with orders is under way.
@@ -171,6 +175,18 @@
     }
 }
 
+/// Workers of other zones that a follower remembers.
+const STRAYS_MOST: usize = 2_000;
+
+/// How orders reach a machine.
+enum Route {
+    Direct,
+    /// By the sibling that passes its reports on.
+    Relay(usize),
+    /// By the state service and a keeper.
+    Post(usize),
+}
+
 impl Controller {
     pub(crate) fn machine(&mut self, name: &str) -> MachineIx {
         if let Some(ix) = self.machines.find(name) {
@@ -203,6 +219,8 @@
             idle_since_ms: now,
             outbox: Vec::new(),
             cut: false,
+            cut_ms: 0,
+            relayer: None,
             via: None,
             calling: false,
             reported: Vec::new(),
@@ -281,7 +299,7 @@
     }
 
     /// A worker's report: `POST /checkin`.
-    pub(crate) fn on_checkin(&mut self, id: RequestId, body: Vec<u8>, passed_on: bool) {
+    pub(crate) fn on_checkin(&mut self, id: RequestId, body: Vec<u8>, relayer: Option<usize>) {
         let report: Report = match from_cbor(&body) {
             Ok(r) => r,
             Err(e) => return self.answer_error(id, 400, &e.to_string()),
@@ -294,13 +312,13 @@
             self.superseded();
         }
         if self.in_doubt() {
-            return self.hold_report(id, body, passed_on);
+            return self.hold_report(id, body, relayer);
         }
         if !self.commands_workers() {
-            if passed_on {
+            if relayer.is_some() {
                 return self.redirect(id);
             }
-            if report.zone == self.cfg.platform.zone && self.relay(id, &report, body) {
+            if self.takes_in(&report) && self.relay(id, &report, body) {
                 return;
             }
             if self.keep(id, &report) {
@@ -308,7 +326,7 @@
             }
             return self.redirect(id);
         }
-        if let Some(near) = self.nearer(&report).filter(|_| !passed_on) {
+        if let Some(near) = self.nearer(&report).filter(|_| relayer.is_none()) {
             let body = to_cbor(&Redirect { owner: Some(near) });
             return self.answer(id, Response::new(421, body));
         }
@@ -318,7 +336,8 @@
         let orders = self.standing_orders(ix);
         let Some(m) = self.machines.get_mut(ix) else { return };
         m.answered_ms = Some(now);
-        (m.cut, m.via) = (false, None);
+        m.relayer = relayer;
+        (m.cut, m.via) = (m.cut && relayer.is_some(), None);
         let body = to_cbor(&ReportAnswer { token: m.token, orders });
         self.answer(id, Response::new(200, body));
     }
@@ -346,7 +365,26 @@
         (!near.is_empty()).then(|| near[n % near.len()].to_string())
     }
 
-    /// Passes a report of the own zone on to the leader; false if it can't be reached.
+    /// Whether a report is passed on rather than its worker sent to the leader. Those of
+    /// the own zone are. One of another zone may have come because it can't reach the
+    /// leader: it is looked after for two leases, then sent there, but not soon again.
+    fn takes_in(&mut self, report: &Report) -> bool {
+        if report.zone == self.cfg.platform.zone {
+            return true;
+        }
+        let (now, lease) = (self.now.steady_ms, self.cfg.lease_ms());
+        if self.strays.len() >= STRAYS_MOST && !self.strays.contains_key(&report.machine) {
+            self.strays.clear();
+        }
+        let stray = self.strays.entry(report.machine.clone()).or_insert((now, 0));
+        let stays = now < stray.0 + 2 * lease || stray.1 > 0 && now < stray.1 + 10 * lease;
+        if !stays {
+            *stray = (now, now);
+        }
+        stays
+    }
+
+    /// Passes a report on to the leader; false if it can't be reached.
     fn relay(&mut self, id: RequestId, report: &Report, body: Vec<u8>) -> bool {
         let Some(at) = self.leader_sibling().filter(|_| !self.leader_missed()) else {
             return false;
@@ -665,14 +703,55 @@
         if let Some(m) = self.machines.get_mut(ix) {
             m.calling = true;
         }
-        if let Some(at) = self.post_route(ix) {
-            return self.post_orders(at, ix, addr.to_string(), request, starts);
+        let timeout = self.cfg.worker_timeout_ms();
+        match self.route(ix) {
+            Route::Post(at) => self.post_orders(at, ix, addr.to_string(), request, starts),
+            Route::Relay(at) => {
+                let body = to_cbor(&Letter { id: 0, addr: addr.to_string(), orders: request });
+                let mut message = self.mesh_message();
+                let (method, path) = ("POST".to_string(), "/orders".to_string());
+                message.forward = Some(Forward { method, path, body });
+                let pending = Pending::Orders { machine: ix, token, starts };
+                let (peer, timeout) = (Peer::Sibling(at), timeout + self.cfg.mesh_timeout_ms());
+                self.call(peer, "POST", "/mesh".into(), to_cbor(&message), timeout, pending)
+            }
+            Route::Direct => {
+                let pending = Pending::Orders { machine: ix, token, starts };
+                let (peer, body) = (Peer::Worker(addr), to_cbor(&request));
+                self.call(peer, "POST", "/orders".into(), body, timeout, pending)
+            }
         }
-        let (body, timeout) = (to_cbor(&request), self.cfg.worker_timeout_ms());
-        let pending = Pending::Orders { machine: ix, token, starts };
+    }
+
+    /// A machine that can't be told directly is told the way its reports come.
+    fn route(&self, ix: MachineIx) -> Route {
+        let relayer = self.machines.get(ix).filter(|m| m.cut).and_then(|m| m.relayer);
+        match (relayer.filter(|at| self.sibling_alive(*at)), self.post_route(ix)) {
+            (Some(at), _) => Route::Relay(at),
+            (None, Some(at)) => Route::Post(at),
+            (None, None) => Route::Direct,
+        }
+    }
+
+    /// Orders of the leader for a worker that it can't reach.
+    pub(crate) fn relay_orders(&mut self, id: RequestId, from: usize, body: &[u8]) {
+        let letter = from_cbor::<Letter>(body).ok().filter(|_| self.leader_place() == Some(from));
+        let addr = letter.as_ref().and_then(|l| l.addr.parse().ok());
+        let (Some(letter), Some(addr)) = (letter, addr) else {
+            return self.answer_error(id, 400, "no orders of the leader's");
+        };
+        let (body, timeout) = (to_cbor(&letter.orders), self.cfg.worker_timeout_ms());
+        let pending = Pending::OrdersRelayed { request: id };
         self.call(Peer::Worker(addr), "POST", "/orders".into(), body, timeout, pending);
     }
 
+    pub(crate) fn on_orders_relayed(&mut self, id: RequestId, outcome: Outcome) {
+        match outcome {
+            Outcome::Answer(r) => self.answer(id, Response::new(r.status, r.body)),
+            _ => self.answer_error(id, 504, "no answer from the worker"),
+        }
+    }
+
     pub(crate) fn on_orders_outcome(
         &mut self,
         ix: MachineIx,
@@ -682,7 +761,15 @@
     ) {
         let Some(m) = self.machines.get_mut(ix) else { return };
         m.calling = false;
-        m.cut = !matches!(outcome, Outcome::Answer(_)) || m.cut && m.via.is_some();
+        let now = self.now.steady_ms;
+        // A machine that can only be told by others is tried directly once a lease.
+        let again = now > m.cut_ms + self.cfg.lease_ms();
+        let by_others = m.cut && !again && (m.via.is_some() || m.relayer.is_some());
+        let cut = !matches!(outcome, Outcome::Answer(_)) || by_others;
+        if cut && (!m.cut || again) {
+            m.cut_ms = now;
+        }
+        m.cut = cut;
         match outcome {
             Outcome::Answer(r) if r.status == 200 || r.status == 409 => {
                 match from_cbor::<Report>(&r.body) {
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -193,7 +193,7 @@
         s.has_state && s.heard_ms.is_some_and(|h| self.now.steady_ms < h + late)
     }
 
-    fn sibling_alive(&self, at: usize) -> bool {
+    pub(crate) fn sibling_alive(&self, at: usize) -> bool {
         let now = self.now.steady_ms;
         self.member.siblings[at].heard_ms.is_some_and(|h| now < h + 3 * self.beat_ms())
     }
@@ -769,8 +769,13 @@
         if !self.hear(&message) {
             return self.answer_error(id, 400, "unknown sibling or mesh version");
         }
+        let from = self.cfg.platform.siblings.iter().position(|s| s.node == message.from);
         match message.forward {
-            Some(f) if f.path == "/checkin" => self.on_checkin(id, f.body, true),
+            Some(f) if f.path == "/checkin" => self.on_checkin(id, f.body, from),
+            Some(f) if f.path == "/orders" => match from {
+                Some(at) => self.relay_orders(id, at, &f.body),
+                None => self.answer_error(id, 400, "unknown sibling"),
+            },
             Some(f) => self.on_user(id, &f.method, &f.path, f.body, true),
             None => {
                 let body = to_cbor(&self.mesh_message());
--- a/crates/core/src/pause.rs
+++ b/crates/core/src/pause.rs
@@ -22,8 +22,8 @@
     /// When it last woke, and how often it has.
     pub woke_ms: u64,
     pub noticed: u64,
-    /// Reports that came meanwhile, and whether a sibling passed them on.
-    reports: Vec<(RequestId, Vec<u8>, bool)>,
+    /// Reports that came meanwhile, and the sibling that passed them on.
+    reports: Vec<(RequestId, Vec<u8>, Option<usize>)>,
 }
 
 /// Reports that may wait for the doubt to end.
@@ -43,8 +43,8 @@
         }
         if waking == Waking::Awake {
             self.needs_orders.extend(self.machines.indexes());
-            for (id, body, passed_on) in std::mem::take(&mut self.pause.reports) {
-                self.on_checkin(id, body, passed_on);
+            for (id, body, relayer) in std::mem::take(&mut self.pause.reports) {
+                self.on_checkin(id, body, relayer);
             }
         }
     }
@@ -66,9 +66,9 @@
     }
 
     /// A report that can't be answered before it is known who leads.
-    pub(crate) fn hold_report(&mut self, id: RequestId, body: Vec<u8>, passed_on: bool) {
+    pub(crate) fn hold_report(&mut self, id: RequestId, body: Vec<u8>, relayer: Option<usize>) {
         match self.pause.reports.len() < REPORTS_MOST {
-            true => self.pause.reports.push((id, body, passed_on)),
+            true => self.pause.reports.push((id, body, relayer)),
             false => self.redirect(id),
         }
     }
--- a/crates/core/src/post.rs
+++ b/crates/core/src/post.rs
@@ -24,10 +24,10 @@
 
 /// Orders for one worker.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct Letter {
-    id: u64,
-    addr: String,
-    orders: OrdersRequest,
+pub(crate) struct Letter {
+    pub id: u64,
+    pub addr: String,
+    pub orders: OrdersRequest,
 }
 
 /// How an order ended: the worker's report, or nothing if its fate is unknown.
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -604,6 +604,34 @@
     w.keep_rules();
 }
 
+/// Guards against a leader that can't reach the workers while its siblings can: what
+/// runs keeps running, in whatever zone, and new work starts by way of the siblings.
+#[test]
+fn a_leader_cut_from_the_workers_goes_by_its_siblings() {
+    for how in [Cut::Drop, Cut::Hold] {
+        let mut w = World::new(3, 6, 0.0, 1700);
+        w.run(500);
+        w.run_ms.insert("wk-000001".into(), 600_000);
+        w.submit_surely(&job("wk-000001", Shape::Array, 6));
+        w.until(5_000, "all run", |w| w.on("wk-000001").len() == 6);
+        let leader = w.leader().unwrap();
+        let names: Vec<String> = w.workers.keys().cloned().collect();
+        names.iter().for_each(|n| w.cut(End::Node(leader), End::Worker(n.clone()), how));
+        w.run(12_000);
+        w.submit_surely(&job("wk-000002", Shape::Array, 6));
+        w.until_done("wk-000002", 12_000);
+        assert_eq!((w.leader(), w.workers.len()), (Some(leader), 6));
+        let kept = w.starts.iter().filter(|(t, s)| t.starts_with("wk-000001/") && s.len() == 1);
+        assert_eq!(kept.count(), 6, "nothing that ran was started again");
+        let abort = w.abort(leader, "wk-000001");
+        w.run(3_000);
+        assert_eq!((w.status(abort), w.on("wk-000001").len()), (200, 0));
+        w.heal();
+        w.run(10_000);
+        w.keep_rules();
+    }
+}
+
 /// Guards questions that come many times as often: they share fresh reads, none goes
 /// unanswered, and an end that was decided elsewhere is not missed.
 #[test]
