--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -632,6 +632,104 @@
     }
 }
 
+/// Guards the record before the start (claim 3): an owner whose writes no longer come to
+/// stand starts nothing on machines that the next owner would not know of.
+#[test]
+fn nothing_starts_on_a_machine_that_is_not_on_record() {
+    for seed in 0..4 {
+        let mut w = World::new(3, 0, 0.0, 1720 + seed);
+        w.run(1_500);
+        w.run_ms.insert("wk-000001".into(), 600_000);
+        w.submit_surely(&job("wk-000001", Shape::Array, 1));
+        let old = w.leader().unwrap();
+        // Only the old owner hears the first machine, and only the others the second.
+        w.cut(End::Node(old), End::State, Cut::Drop);
+        let (first, second) = (w.add_worker(), w.add_worker());
+        w.workers.get_mut(&first).unwrap().node = old;
+        w.workers.get_mut(&second).unwrap().node = (old + 1) % 3;
+        for n in 0..3 {
+            let unheard = if n == old { &second } else { &first };
+            w.cut(End::Node(n), End::Worker(unheard.clone()), Cut::Drop);
+        }
+        w.run(1_200);
+        w.kill(old);
+        w.until(20_000, "it runs", |w| !w.on("wk-000001").is_empty());
+        w.run(20_000);
+        assert_eq!(w.on("wk-000001").len(), 1);
+        w.keep_rules();
+    }
+}
+
+/// Guards keepers (claim 9): a leader presumes no machine empty that another controller
+/// may be keeping alive, though nothing of it reaches the leader.
+#[test]
+fn a_machine_that_is_kept_is_not_presumed_empty() {
+    let mut w = World::new(3, 2, 0.0, 1740);
+    w.run(500);
+    w.run_ms.insert("wk-000001".into(), 600_000);
+    w.submit_surely(&job("wk-000001", Shape::Array, 1));
+    w.until(5_000, "it runs", |w| w.on("wk-000001").len() == 1);
+    let leader = w.leader().unwrap();
+    let (keeper, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    let holder = w.on("wk-000001")[0].1.clone();
+    w.state.no_post = true;
+    w.workers.get_mut(&holder).unwrap().node = keeper;
+    w.cut(End::Node(leader), End::Node(keeper), Cut::Drop);
+    w.cut(End::Node(leader), End::Worker(holder.clone()), Cut::Drop);
+    w.cut(End::Node(other), End::Worker(holder), Cut::Drop);
+    w.run(40_000);
+    assert_eq!((w.leader(), w.on("wk-000001").len()), (Some(leader), 1));
+    w.keep_rules();
+}
+
+/// Guards ends (claim 12): a refusal of the leader's own abort that comes after the same
+/// job was aborted past it does not bring the job back.
+#[test]
+fn a_late_refusal_does_not_undo_an_abort() {
+    let mut w = World::new(3, 2, 0.0, 1760);
+    w.run(500);
+    w.run_ms.insert("wk-000001".into(), 600_000);
+    w.submit_surely(&job("wk-000001", Shape::Array, 2));
+    w.until(5_000, "it runs", |w| w.on("wk-000001").len() == 2);
+    let leader = w.leader().unwrap();
+    // Its machines hang, so that the tasks are still there when the refusal comes.
+    let until = w.now + 3_000;
+    w.workers.values_mut().for_each(|m| m.hung_until = until);
+    w.state.refuses_late = Some((leader, 400));
+    w.abort(leader, "wk-000001");
+    w.run(60);
+    let past = w.abort((leader + 1) % 3, "wk-000001");
+    w.run(1_000);
+    assert_eq!(w.status(past), 200);
+    w.state.refuses_late = None;
+    w.run(CANCEL_MS + 10_000);
+    assert!(w.on("wk-000001").is_empty());
+    w.keep_rules();
+}
+
+/// Guards a record that can't be read (claim 15): its job alone is left alone, and
+/// nothing writes over it.
+#[test]
+fn an_unreadable_record_stops_its_job_alone() {
+    let mut w = World::new(3, 2, 0.0, 1780);
+    w.run(500);
+    w.run_ms.insert("wk-000001".into(), 600_000);
+    w.submit_surely(&job("wk-000001", Shape::Array, 1));
+    w.until(5_000, "it runs", |w| w.on("wk-000001").len() == 1);
+    let garbage = ciborium::value::Value::Text("?".into());
+    w.state.keys.get_mut("shares/wk-000001/0/0").unwrap().0 = garbage.clone();
+    (0..3).for_each(|n| w.kill_for(n, 500));
+    w.run(2_000);
+    w.submit_surely(&job("wk-000002", Shape::Array, 2));
+    w.until_done("wk-000002", 20_000);
+    w.run(20_000);
+    assert_eq!(w.state.keys["shares/wk-000001/0/0"].0, garbage);
+    let poll = w.poll(0, "wk-000001");
+    w.run(500);
+    assert!([200, 503].contains(&w.status(poll)));
+    w.keep_rules();
+}
+
 /// Guards questions that come many times as often: they share fresh reads, none goes
 /// unanswered, and an end that was decided elsewhere is not missed.
 #[test]
@@ -652,15 +750,15 @@
     w.run(1_000);
     assert!(asks.iter().all(|a| w.status(*a) == 200));
     assert!(w.state.requests - reads < 300, "{} reads", w.state.requests - reads);
-    // An abort that the leader can't have heard of is found by the very next question.
+    // An abort that the leader has not heard of is found by the very next question.
     w.cut(End::Node(leader), End::Node((leader + 1) % 3), Cut::Drop);
     w.cut(End::Node(leader), End::Node((leader + 2) % 3), Cut::Drop);
-    w.until(10_000, "aborted past the leader", |w| w.leader() == Some(leader));
-    let abort = w.abort((leader + 1) % 3, &ids[0]);
+    w.state.no_inbox = true;
     w.run(3_000);
-    assert_eq!(w.status(abort), 200);
+    let abort = w.abort((leader + 1) % 3, &ids[0]);
+    w.until(3_000, "aborted past the leader", |w| w.status(abort) == 200);
     let ask = w.poll(leader, &ids[0]);
-    w.run(500);
+    w.run(200);
     assert_eq!(w.status(ask), 200);
     assert_eq!(w.told.get(&ids[0]), Some(&JobStatus::Aborted));
     w.keep_rules();
@@ -738,6 +836,11 @@
     (0..3).for_each(|n| w.pause(n, if n == leader { 3_000 } else { 9_000 }));
     w.until_done("wk-000001", 60_000);
     assert_eq!(w.workers.len(), machines, "no machine went back for our own silence");
+    // Nor for time that they were idle because we gave them nothing.
+    w.run(20_000);
+    (0..3).for_each(|n| w.pause(n, if n == leader { 5_000 } else { 9_000 }));
+    w.run(5_500);
+    assert_eq!(w.workers.len(), machines, "no machine went back for our own idleness");
     w.keep_rules();
 }
 
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -84,6 +84,12 @@
     pub refuses: BTreeSet<usize>,
     /// Transactions are executed, but the next so many answers are lost.
     pub swallow_answers: u32,
+    /// Answers this node's transactions 503 without executing them, after so long.
+    pub refuses_late: Option<(usize, u64)>,
+    /// Carries no post between controllers.
+    pub no_post: bool,
+    /// Watches of what is recorded past the leader hear nothing.
+    pub no_inbox: bool,
     pub writes: u64,
     pub requests: u64,
 }
@@ -836,6 +842,15 @@
             }
         } else if path == "/multi" {
             let txn: Transaction = from_cbor(&call.body).unwrap();
+            let post = quartzgate_core::records::POST;
+            let is_post =
+                |c: &Change| matches!(c, Change::Set { set, .. } if set.starts_with(post));
+            let late = self.state.refuses_late.filter(|(node, _)| *node == from);
+            if late.is_some() || self.state.no_post && txn.apply.iter().any(is_post) {
+                let outcome = Outcome::Answer(Response::new(503, Vec::new()));
+                let ms = late.map_or(1, |(_, ms)| ms);
+                return self.after(ms, Msg::Outcome { node: from, life, call: call.id, outcome });
+            }
             let answer = self.transact(txn);
             if self.state.swallow_answers > 0 {
                 self.state.swallow_answers -= 1;
@@ -888,6 +903,8 @@
             .cloned()
             .collect();
         // Open watches wait through an outage.
+        let mute = self.state.no_inbox && starts == quartzgate_core::records::INBOX;
+        let log = if mute { Vec::new() } else { log };
         let deaf = self.state.down || self.state.refuses.contains(&node);
         if deaf || log.is_empty() && self.now < until {
             return self.after(10, Msg::WatchEnd { node, life, call, starts, since, until });
