Two jobs quarantine a machine again; it is emptied two report rounds later

Two suffice again; that they were mistaken shows within a round, in which the machine takes no work but keeps what runs.

--- a/crates/core/src/blame.rs
+++ b/crates/core/src/blame.rs
@@ -22,10 +22,10 @@
 
 /// Machines on which a job must fail, without success on any, to be taken for mistaken.
 const MISTAKEN_ON: usize = 3;
-/// Proven jobs that must fail on a machine for it to be taken for faulty.
-const FAULTY_PROVEN: usize = 2;
-/// The same, counting jobs of which nothing is known yet.
-const FAULTY_ALL: usize = 3;
+/// Jobs that must fail on a machine for it to be taken for faulty. Those of which nothing
+/// is known yet count as well. They may turn out to be mistaken, and so the machine takes
+/// no more work at once, but is emptied only after two report rounds.
+const FAULTY: usize = 2;
 /// A pause between trials is at most this power of two of report rounds.
 const PAUSE_MOST: u32 = 5;
 
@@ -127,16 +127,15 @@
     /// The one function that quarantines a machine, or takes it back.
     fn judge(&mut self, ix: MachineIx) {
         let Some(m) = self.machines.get_mut(ix) else { return };
-        let proven = m.failures.values().filter(|proven| **proven).count();
-        let faulty = proven >= FAULTY_PROVEN || m.failures.len() >= FAULTY_ALL;
+        let faulty = m.failures.len() >= FAULTY;
         if m.quarantined == faulty {
             return;
         }
         m.quarantined = faulty;
+        m.empty_from_ms = self.now.steady_ms + 2 * self.cfg.report_ms();
         let jobs = m.failures.len();
         if faulty {
             tracing::info!(machine = %m.name, jobs, "quarantined: different jobs fail here");
-            self.drain_due = true;
             self.requeue_probes(ix);
         } else {
             tracing::info!(machine = %m.name, "no longer quarantined: the jobs were at fault");
--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -619,7 +619,7 @@
                 && m.unproven.is_empty()
                 && !m.calling
                 && now as f64 > m.idle_since_ms as f64 + patience;
-            let faulty = m.quarantined && m.state == MachineState::Ready && m.tasks.is_empty();
+            let faulty = m.condemned(now) && m.state == MachineState::Ready && m.tasks.is_empty();
             let lost = m.state == MachineState::Presumed
                 && now > m.heard_ms.max(m.answered_ms.unwrap_or(0)) + 2 * self.cfg.silence_ms();
             if m.recall_ms.is_some() && !lost {
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -453,7 +453,7 @@
         let slack = 2 * self.cfg.report_ms();
         let mut stop: Vec<TaskKey> = Vec::new();
         for (_, m) in self.machines.iter() {
-            if m.recall_ms.is_none() && !m.quarantined {
+            if m.recall_ms.is_none() && !m.condemned(now) {
                 continue;
             }
             let left_ms = m.recall_ms.map(|r| r.saturating_sub(now));
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -121,6 +121,8 @@
     /// run well elsewhere.
     pub failures: BTreeMap<JobIx, bool>,
     pub quarantined: bool,
+    /// When a machine that is quarantined is emptied and given back.
+    pub empty_from_ms: u64,
     pub no_room_until_ms: u64,
     /// Age by the cloud's list, if it was listed.
     pub listed: bool,
@@ -128,6 +130,11 @@
 }
 
 impl Machine {
+    /// Taken for faulty, and for long enough to be sure of it.
+    pub fn condemned(&self, now_ms: u64) -> bool {
+        self.quarantined && now_ms >= self.empty_from_ms
+    }
+
     pub fn usable(&self) -> bool {
         self.state == MachineState::Ready && !self.quarantined && self.recall_ms.is_none()
     }
@@ -228,6 +235,7 @@
             images: BTreeMap::new(),
             failures: BTreeMap::new(),
             quarantined: false,
+            empty_from_ms: 0,
             no_room_until_ms: 0,
             listed: false,
             probed_ms: 0,
