One piece of code for a job's blame and for folded chunks; a flag that nothing read is gone

Behaviour as before: trust_to and absolve shared a loop, gather_fold and written computed the same ranges, failures carried a bool that the verdict no longer asked for, and a trial's time was set where it was overwritten or not looked at.

--- a/crates/core/src/blame.rs
+++ b/crates/core/src/blame.rs
@@ -59,11 +59,10 @@
             return;
         }
         let old = std::mem::replace(&mut job.trust, trust);
-        let machines = job.errors_on.clone();
         match trust {
             Trust::Mistaken => {
                 (job.trials, job.trial_ms) = (0, first);
-                tracing::info!(job = %job.id, machines = machines.len(),
+                tracing::info!(job = %job.id, machines = job.errors_on.len(),
                     "taken for mistaken: it fails wherever it is tried");
             }
             Trust::Proven if old == Trust::Mistaken => {
@@ -71,12 +70,18 @@
             }
             _ => {}
         }
-        for machine in machines {
+        self.blame_machines(ix, trust == Trust::Proven);
+    }
+
+    /// Counts a job's failures against the machines where it failed, or no longer does.
+    fn blame_machines(&mut self, ix: JobIx, guilty: bool) {
+        let Some(job) = self.jobs.get(ix) else { return };
+        for machine in job.errors_on.clone() {
             if let Some(m) = self.machines.get_mut(machine) {
-                match trust {
-                    Trust::Proven => drop(m.failures.insert(ix, true)),
-                    _ => drop(m.failures.remove(&ix)),
-                }
+                match guilty {
+                    true => m.failures.insert(ix),
+                    false => m.failures.remove(&ix),
+                };
             }
             self.judge(machine);
         }
@@ -92,14 +97,13 @@
         }
         let trust = job.trust;
         let spread = job.errors_on.len() >= MISTAKEN_ON;
-        job.trial_ms = now + (round << job.trials.min(PAUSE_MOST));
         tracing::debug!(machine = ?ix, job = %job.id, task = key.task, "task failed");
         match trust {
-            Trust::Mistaken => {}
+            Trust::Mistaken => job.trial_ms = now + (round << job.trials.min(PAUSE_MOST)),
             Trust::Untried if spread => self.trust_to(key.job, Trust::Mistaken),
             _ => {
                 if let Some(m) = self.machines.get_mut(ix) {
-                    m.failures.insert(key.job, trust == Trust::Proven);
+                    m.failures.insert(key.job);
                 }
                 self.judge(ix);
             }
@@ -115,12 +119,8 @@
 
     /// A job is over: what failed of it without a verdict blames nobody.
     pub(crate) fn absolve(&mut self, ix: JobIx) {
-        let Some(job) = self.jobs.get(ix).filter(|j| j.trust == Trust::Untried) else { return };
-        for machine in job.errors_on.clone() {
-            if let Some(m) = self.machines.get_mut(machine) {
-                m.failures.remove(&ix);
-            }
-            self.judge(machine);
+        if self.jobs.get(ix).is_some_and(|j| j.trust == Trust::Untried) {
+            self.blame_machines(ix, false);
         }
     }
 
--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -71,9 +71,7 @@
             listed_ms: 0,
         }
     }
-}
 
-impl Cloud {
     /// Machines that were rented and have not reported yet.
     pub fn expected(&self) -> usize {
         self.coming.len()
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -204,6 +204,14 @@
             || self.chunks.values().filter(|c| !c.whole()).count() < OPEN_CHUNKS
     }
 
+    /// The chunks that are folded, once these are as well.
+    pub fn done_chunks_with(&self, more: &[u32]) -> Vec<(u32, u32)> {
+        let folded = self.done_chunks.iter().flat_map(|(a, b)| *a..=*b);
+        let mut all: Vec<u32> = folded.chain(more.iter().copied()).collect();
+        all.sort_unstable();
+        ranges(all)
+    }
+
     /// How many chunks the job's tasks make.
     pub fn chunk_count(&self) -> u32 {
         self.spec.tasks.div_ceil(CHUNK)
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -1,7 +1,7 @@
 //! Machines: what their reports prove, what they are told, when they are presumed
 //! empty.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use quartzgate_wire::http::Response;
@@ -117,9 +117,8 @@
     /// The newest report began a session: all of earlier ones is gone.
     pub fresh_session: bool,
     pub images: BTreeMap<String, u64>,
-    /// Jobs whose tasks failed here since one last completed, and whether they have
-    /// run well elsewhere.
-    pub failures: BTreeMap<JobIx, bool>,
+    /// Jobs whose tasks failed here since one last completed.
+    pub failures: BTreeSet<JobIx>,
     pub quarantined: bool,
     /// When a machine that is quarantined is emptied and given back.
     pub empty_from_ms: u64,
@@ -233,7 +232,7 @@
             reported: Vec::new(),
             fresh_session: false,
             images: BTreeMap::new(),
-            failures: BTreeMap::new(),
+            failures: BTreeSet::new(),
             quarantined: false,
             empty_from_ms: 0,
             no_room_until_ms: 0,
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -126,9 +126,7 @@
             reads: follower_share(cfg.platform.params.state.rps, n + 1),
         }
     }
-}
 
-impl Member {
     /// The view is proven to be known as it stood at this moment or later.
     pub fn view_known_since(&self, ms: u64) -> bool {
         self.control_ms >= ms
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -319,14 +319,11 @@
             self.store.jobs.remove(&ix);
             return;
         }
-        let folded = job.done_chunks.iter().flat_map(|(a, b)| *a..=*b);
-        let mut folded: Vec<u32> = folded.chain(chunks.iter().copied()).collect();
-        folded.sort_unstable();
         let record = JobRecord {
             status: RecordedStatus::Live,
             spec: Some(job.spec.clone()),
             at_ms: job.at_ms,
-            done_chunks: crate::records::ranges(folded),
+            done_chunks: job.done_chunks_with(&chunks),
         };
         let key = job_key(&job.id);
         txn.guards.push(Guard { path: key.clone(), stamp: job.stamp });
@@ -404,10 +401,7 @@
                 let Some(j) = self.jobs.get_mut(job) else { return };
                 (j.busy, j.stamp) = (false, rev);
                 j.chunks.retain(|c, _| !chunks.contains(c));
-                let mut all: Vec<u32> =
-                    j.done_chunks.iter().flat_map(|(a, b)| *a..=*b).chain(chunks).collect();
-                all.sort_unstable();
-                j.done_chunks = crate::records::ranges(all);
+                j.done_chunks = j.done_chunks_with(&chunks);
                 self.store.touch_job(job);
                 self.deal_due = true;
             }
