--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -16,7 +16,7 @@
 use crate::jobs::JobState;
 use crate::polls::live_answer;
 use crate::records::{
-    decode, encode, inbox_key, job_key, share_key, JobRecord, RecordedStatus, INBOX,
+    checked_size, decode, encode, inbox_key, job_key, JobRecord, RecordedStatus, INBOX,
 };
 use crate::{Outcome, Peer, RequestId};
 
@@ -82,6 +82,11 @@
         if let Some(status) = self.finals.get(work.id()) {
             return self.answer_final(id, work.id(), status);
         }
+        // Nothing that the first version would not understand before it is gone.
+        if matches!(&work, UserWork::Submit(s, _) if !s.dependencies.is_empty()) && !self.latched()
+        {
+            return self.answer_busy(id);
+        }
         if self.leads() {
             return self.decide(id, work);
         }
@@ -119,8 +124,8 @@
             Outcome::Answer(r) if matches!(r.status, 200 | 201 | 404 | 422) => {
                 if let Ok(a) = from_cbor::<JobAnswer>(&r.body) {
                     match a.status {
-                        JobStatus::Done => self.finals.insert(a.id, RecordedStatus::Done),
-                        JobStatus::Aborted => self.finals.insert(a.id, RecordedStatus::Aborted),
+                        JobStatus::Done => self.learn_final(&a.id, RecordedStatus::Done),
+                        JobStatus::Aborted => self.learn_final(&a.id, RecordedStatus::Aborted),
                         _ => {}
                     }
                 }
@@ -146,7 +151,7 @@
             return self.answer_busy(id);
         }
         match work {
-            UserWork::Submit(spec, _) => self.submit_alone(id, *spec),
+            UserWork::Submit(spec, _) => self.consider(id, *spec),
             UserWork::Poll(job) => self.poll(id, job),
             UserWork::Abort(job) => {
                 self.read_job(id, &job, Pending::AbortRead { request: id, id: job.clone() })
@@ -154,13 +159,46 @@
         }
     }
 
-    fn submit_alone(&mut self, id: RequestId, spec: JobSpec) {
-        let now = self.now.steady_ms;
+    /// Whether a submission can be taken, as far as can be told without reading.
+    fn acceptable(&mut self, id: RequestId, spec: JobSpec) -> Option<JobSpec> {
         match self.verdict(&spec) {
             Verdict::Fits => {}
             // A known job is never refused: what stands decides.
-            Verdict::Never(_) | Verdict::Unknown => return self.read_known(id, spec),
+            Verdict::Never(why) => {
+                self.refuse(id, spec, 422, why);
+                return None;
+            }
+            Verdict::Unknown => {
+                self.read_known(id, spec, None);
+                return None;
+            }
+        }
+        if spec.dependencies.contains(&spec.id) {
+            self.refuse(id, spec, 422, "a job can't need itself");
+            return None;
         }
+        let record = self.job_record(spec);
+        let small = checked_size(&record) <= self.value_most();
+        let spec = record.spec?;
+        if !small {
+            self.refuse(id, spec, 400, "too large to be kept: fewer prereqs or shorter names");
+            return None;
+        }
+        Some(spec)
+    }
+
+    /// A submission of a job that memory does not know.
+    fn consider(&mut self, id: RequestId, spec: JobSpec) {
+        if let Some(spec) = self.acceptable(id, spec) {
+            match spec.dependencies.is_empty() {
+                true => self.submit_admitted(id, spec),
+                false => self.admit(id, spec),
+            }
+        }
+    }
+
+    fn record_alone(&mut self, id: RequestId, spec: JobSpec) {
+        let now = self.now.steady_ms;
         if !self.store.writes.take(now, 2.0, 0.0) {
             return self.answer_busy(id);
         }
@@ -178,18 +216,24 @@
     }
 
     /// Looks whether a job is known before it is refused.
-    fn read_known(&mut self, id: RequestId, spec: JobSpec) {
+    fn read_known(&mut self, id: RequestId, spec: JobSpec, refusal: Option<(u16, &'static str)>) {
         let job = spec.id.clone();
-        let pending = Pending::Known { request: id, spec: Box::new(spec) };
+        let pending = Pending::Known { request: id, spec: Box::new(spec), refusal };
         self.read_job(id, &job, pending);
     }
 
+    /// Refuses a submission, unless its job is known.
+    pub(crate) fn refuse(&mut self, id: RequestId, spec: JobSpec, status: u16, why: &'static str) {
+        self.read_known(id, spec, Some((status, why)));
+    }
+
     pub(crate) fn job_record(&self, spec: JobSpec) -> JobRecord {
         JobRecord {
             status: RecordedStatus::Live,
             spec: Some(spec),
             at_ms: self.now.wall_ms,
             done_chunks: Vec::new(),
+            service: false,
         }
     }
 
@@ -229,17 +273,33 @@
     }
 
     fn submit(&mut self, id: RequestId, spec: JobSpec) {
-        let now = self.now.steady_ms;
+        if self.submitted_before(id, &spec) {
+            return;
+        }
+        self.consider(id, spec)
+    }
+
+    /// A job that memory knows: what stands is told.
+    fn submitted_before(&mut self, id: RequestId, spec: &JobSpec) -> bool {
         if let Some(job) = self.jobs.find(&spec.id).and_then(|ix| self.jobs.get(ix)) {
             // While the first submission is being recorded, a second can't be told more.
-            if job.state == JobState::Recording {
-                return self.answer_busy(id);
+            match job.state {
+                JobState::Recording => self.answer_busy(id),
+                _ => self.poll(id, spec.id.clone()),
             }
-            return self.poll(id, spec.id);
+            return true;
         }
-        match self.verdict(&spec) {
-            Verdict::Fits => {}
-            Verdict::Never(_) | Verdict::Unknown => return self.read_known(id, spec),
+        false
+    }
+
+    /// Takes a submission all of whose dependencies were accepted.
+    pub(crate) fn submit_admitted(&mut self, id: RequestId, spec: JobSpec) {
+        if !self.leads() {
+            return self.record_alone(id, spec);
+        }
+        let now = self.now.steady_ms;
+        if self.submitted_before(id, &spec) {
+            return;
         }
         let Some(team) = self.cfg.team(&spec.team) else { return self.answer_busy(id) };
         if !self.store.writes.take(now, 1.0, 0.0) {
@@ -248,6 +308,8 @@
         let record = self.job_record(spec.clone());
         let (key, job_id) = (job_key(&spec.id), spec.id.clone());
         let rank = spec.rank;
+        let done = |d: &String| self.finals.get(d) == Some(RecordedStatus::Done);
+        let ready = spec.dependencies.iter().all(done);
         let job = self.new_job(spec, team, JobState::Recording, 0, record.at_ms);
         let ix = self.jobs.insert(job);
         let mut apply =
@@ -256,18 +318,17 @@
             Guard { path: key, stamp: 0 },
             Guard { path: crate::records::VIEW.into(), stamp: self.member.view_stamp },
         ];
+        let mut first = 0;
         // The first deal goes with the acceptance if a write for it is left.
-        if self.store.writes.take(now, 1.0, 0.0) {
+        if ready && self.store.writes.take(now, 1.0, 0.0) {
             let full = self.backlog().full(rank);
             if !full && self.deal_job(ix) {
-                if let Some(share) = self.share_record(ix, 0) {
-                    let path = share_key(&job_id, 0);
-                    apply.push(Change::Set {
-                        set: path.clone(),
-                        value: encode(&share),
-                        permit: None,
-                    });
-                    guards.push(Guard { path, stamp: 0 });
+                // A share that needs more room follows in a write of its own.
+                let room = self.limits().txn_ops - apply.len();
+                if let Some(share) = self.share_write(ix, 0).filter(|s| s.changes() <= room) {
+                    self.store.writes.force(now, share.changes() as f64 - 1.0);
+                    first = share.pieces;
+                    share.enter(&job_id, 0, &mut guards, &mut apply);
                     if let Some(c) = self.jobs.get_mut(ix).and_then(|j| j.chunks.get_mut(&0)) {
                         (c.dirty, c.busy) = (false, true);
                     }
@@ -280,11 +341,12 @@
             j.busy = true;
         }
         let body = to_cbor(&Transaction { guards, apply });
-        let pending = Pending::Accept { request: id, job: ix, epoch: self.epoch() };
+        let epoch = self.epoch();
+        let pending = Pending::Accept { request: id, job: ix, pieces: first, epoch };
         self.state_call("POST", "/multi".into(), body, pending);
     }
 
-    pub(crate) fn on_accept(&mut self, id: RequestId, ix: JobIx, outcome: Outcome) {
+    pub(crate) fn on_accept(&mut self, id: RequestId, ix: JobIx, pieces: u32, outcome: Outcome) {
         let done = match &outcome {
             Outcome::Answer(r) if r.status == 200 => from_cbor::<TransactionAnswer>(&r.body).ok(),
             _ => None,
@@ -296,6 +358,7 @@
             job.busy = false;
             if let Some(c) = job.chunks.get_mut(&0).filter(|c| c.busy) {
                 (c.busy, c.acked, c.stamp) = (false, c.version, done.ledger_rev);
+                c.pieces = pieces;
             }
             let answer = JobAnswer {
                 id: job.id.clone(),
@@ -303,6 +366,7 @@
                 done: None,
                 running: None,
             };
+            self.link(ix);
             self.job_to(ix, JobState::Live);
             self.answer(id, Response::new(201, to_cbor(&answer)));
             self.touch_probed(ix);
@@ -372,8 +436,13 @@
             tracing::error!(job, "the job's record can't be read; it is left as it is");
             return self.answer_busy(id);
         };
+        // Its end may have been learnt while the record was on its way.
+        if let Some(status) = self.finals.get(job) {
+            return self.answer_final(id, job, status);
+        }
         match record.status {
             RecordedStatus::Live => {
+                let named = record.spec.as_ref().map(|s| s.dependencies.clone());
                 let known = self.adopt(job, record, pair.stamp);
                 let answer = known.and_then(|ix| self.jobs.get(ix)).map(live_answer);
                 let answer = answer.unwrap_or_else(|| JobAnswer {
@@ -382,19 +451,22 @@
                     done: None,
                     running: None,
                 });
-                self.answer(id, Response::new(200, to_cbor(&answer)));
+                match named.filter(|n| !n.is_empty()) {
+                    Some(named) => self.walk(id, answer, named),
+                    None => self.answer(id, Response::new(200, to_cbor(&answer))),
+                }
             }
             ended => {
                 if ended == RecordedStatus::Aborted {
                     self.learn_abort(job, pair.stamp);
                 }
-                self.finals.insert(job.to_string(), ended);
+                self.learn_final(job, ended);
                 self.answer_final(id, job, ended);
             }
         }
     }
 
-    fn answer_final(&mut self, id: RequestId, job: &str, status: RecordedStatus) {
+    pub(crate) fn answer_final(&mut self, id: RequestId, job: &str, status: RecordedStatus) {
         let status = match status {
             RecordedStatus::Done => JobStatus::Done,
             _ => JobStatus::Aborted,
@@ -404,14 +476,20 @@
     }
 
     /// A submission that would be refused: refused only if the job is not known.
-    pub(crate) fn on_known(&mut self, id: RequestId, spec: JobSpec, outcome: Outcome) {
+    pub(crate) fn on_known(
+        &mut self,
+        id: RequestId,
+        spec: JobSpec,
+        refusal: Option<(u16, &'static str)>,
+        outcome: Outcome,
+    ) {
         match self.read_outcome(outcome) {
-            Ok(None) => match self.verdict(&spec) {
-                Verdict::Never(why) => {
+            Ok(None) => match refusal {
+                Some((status, why)) => {
                     tracing::info!(job = %spec.id, why, "refused");
-                    self.answer_error(id, 422, why)
+                    self.answer_error(id, status, why)
                 }
-                _ => self.answer_busy(id),
+                None => self.answer_busy(id),
             },
             Ok(Some(pair)) => self.answer_record(id, &spec.id, pair),
             Err(()) => self.answer_busy(id),
@@ -423,19 +501,21 @@
         let now = self.now.steady_ms;
         let Some(job) = self.jobs.get(ix) else { return self.answer_busy(id) };
         // While its record is being written or looked at, an abort can't be decided.
-        if job.busy || !matches!(job.state, JobState::Live) {
+        if job.busy || !matches!(job.state, JobState::Live | JobState::Waiting) {
             return self.answer_busy(id);
         }
         if !self.store.writes.take(now, 1.0, 0.0) {
             return self.answer_busy(id);
         }
         let key = job_key(&job.id);
-        let record = JobRecord {
+        let mut record = JobRecord {
             status: RecordedStatus::Aborted,
             spec: Some(job.spec.clone()),
             at_ms: job.at_ms,
             done_chunks: job.done_chunks.clone(),
+            service: false,
         };
+        record.end_within(self.value_most());
         let body = to_cbor(&Transaction {
             guards: vec![
                 Guard { path: key.clone(), stamp: job.stamp },
@@ -506,6 +586,7 @@
             return self.answer_busy(id);
         }
         record.status = RecordedStatus::Aborted;
+        record.end_within(self.value_most());
         let body = to_cbor(&Transaction {
             guards: vec![Guard { path: job_key(&job), stamp: pair.stamp }],
             apply: vec![
@@ -522,7 +603,7 @@
             Outcome::Answer(r) if r.status == 200 => {
                 self.state_answered();
                 tracing::info!(job = %job, "aborted past the leader");
-                self.finals.insert(job.clone(), RecordedStatus::Aborted);
+                self.learn_final(&job, RecordedStatus::Aborted);
                 self.answer_final(id, &job, RecordedStatus::Aborted)
             }
             Outcome::Answer(r) if r.status != 409 => {
@@ -544,7 +625,7 @@
                 self.job_to(ix, JobState::Aborted);
                 self.restamp_job(ix);
             }
-            self.finals.insert(job.to_string(), RecordedStatus::Aborted);
+            self.learn_final(job, RecordedStatus::Aborted);
         } else if self.jobs.find(job).is_none() {
             let pending = Pending::InboxRead { job: job.to_string(), epoch: self.epoch() };
             self.state_call("GET", format!("/keys/{}", job_key(job)), Vec::new(), pending);
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -14,6 +14,16 @@
         Budget { per_s, level: per_s, at_ms: 0, closed_until_ms: 0 }
     }
 
+    pub fn per_s(&self) -> f64 {
+        self.per_s
+    }
+
+    /// The limit has changed.
+    pub fn set_rate(&mut self, per_s: f64) {
+        self.per_s = per_s;
+        self.level = self.level.min(per_s);
+    }
+
     fn refill(&mut self, now_ms: u64) {
         let passed = now_ms.saturating_sub(self.at_ms) as f64 / 1000.0;
         self.level = (self.level + passed * self.per_s).min(self.per_s);
--- /dev/null
+++ b/crates/core/src/chains.rs
@@ -0,0 +1,522 @@
+//! Jobs that wait for other jobs.
+//!
+//! The leader's memory holds the graph of what still waits: which jobs in memory wait for
+//! a job. An edge goes when the named job's end is known to be on record. A job is
+//! `Waiting` while it has an edge left; it is cancelled as soon as a job before it is.
+//!
+//! Since nothing of a waiting job was ever dealt, that it is cancelled through another
+//! follows from the records alone. Any controller can find it out by reading along the
+//! chain (a *walk*), before anybody has written the end down.
+//!
+//! Deadline and priority flow backwards: a job counts as having the highest priority of
+//! those that need it, and as due so long before them as what lies between takes.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+
+use quartzgate_wire::http::Response;
+use quartzgate_wire::msg::{JobAnswer, JobSpec, JobStatus, Rank, Shape};
+use quartzgate_wire::to_cbor;
+
+use crate::controller::{Controller, Pending};
+use crate::ids::JobIx;
+use crate::jobs::{Job, JobState};
+use crate::records::{decode, job_key, JobRecord, RecordedStatus};
+use crate::{Outcome, RequestId};
+
+impl Job {
+    /// The deadline that its own user set.
+    pub fn own_due(&self) -> Option<Due> {
+        let (class, at_ms) = (self.spec.class.clone(), self.at_ms);
+        self.spec.deadline_s.map(|due_s| Due { class, at_ms, due_s, tail_s: 0.0 })
+    }
+}
+
+/// A deadline that a job works towards: its own, or that of one that needs it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Due {
+    /// Class of the job whose deadline it is, for which the operators have aims.
+    pub class: String,
+    /// When that job was submitted, and how long after that it is due.
+    pub at_ms: u64,
+    pub due_s: f64,
+    /// What lies between this job's end and that job's, by all that is known.
+    pub tail_s: f64,
+}
+
+impl Due {
+    /// When the job that has it should be done, in milliseconds of the time of day.
+    pub fn latest_ms(&self) -> f64 {
+        self.at_ms as f64 + (self.due_s - self.tail_s) * 1000.0
+    }
+}
+
+#[derive(Default)]
+pub(crate) struct Chains {
+    /// Jobs in memory that wait for a job, by its id.
+    waiting: HashMap<String, BTreeSet<JobIx>>,
+    /// Named jobs of which memory knows nothing, and when each was last asked for.
+    unknown: BTreeMap<String, u64>,
+    /// Ends on record that the jobs behind them have not been told of.
+    settled: VecDeque<(String, RecordedStatus)>,
+    /// Jobs whose priority or deadline is another's.
+    raised: BTreeSet<JobIx>,
+    /// The graph has changed since priorities and deadlines were worked out.
+    changed: bool,
+    worked_ms: u64,
+    /// Requests that are answered by reading along a chain.
+    walks: BTreeMap<RequestId, Walk>,
+}
+
+impl Chains {
+    /// What the leader's memory held goes; requests still get their answers.
+    pub fn forget_graph(&mut self) {
+        let walks = std::mem::take(&mut self.walks);
+        *self = Chains { walks, ..Chains::default() };
+    }
+
+    /// Whether any job in memory waits for this one.
+    pub fn needed(&self, id: &str) -> bool {
+        self.waiting.contains_key(id)
+    }
+
+    pub fn edges(&self) -> usize {
+        self.waiting.values().map(BTreeSet::len).sum()
+    }
+
+    pub fn unknown(&self) -> usize {
+        self.unknown.len()
+    }
+}
+
+/// What a walk is for.
+#[derive(Debug)]
+enum Purpose {
+    /// To tell how a job stands whose record is live.
+    Tell(JobAnswer),
+    /// To see that all jobs that a submission names were accepted.
+    Admit(Box<JobSpec>),
+}
+
+#[derive(Debug)]
+struct Walk {
+    purpose: Purpose,
+    /// Jobs that are still to be read, and those that were looked at.
+    open: Vec<String>,
+    seen: HashSet<String>,
+    reading: usize,
+    /// A job before it is not done.
+    waits: bool,
+    until_ms: u64,
+}
+
+/// Reads of one walk that are under way at a time.
+const WALK_READS: usize = 6;
+/// Walks at a time.
+const WALKS_MOST: usize = 500;
+/// Unknown jobs that are asked for at a time.
+const UNKNOWN_READS: usize = 20;
+
+impl Controller {
+    /// Enters a job's dependencies into the graph. What ended is known by its end on
+    /// record; of what memory does not know, the record is read.
+    pub(crate) fn link(&mut self, ix: JobIx) {
+        let Some(job) = self.jobs.get(ix) else { return };
+        let named = job.spec.dependencies.clone();
+        if named.is_empty() {
+            return;
+        }
+        let mut cancelled = false;
+        for id in named {
+            match self.finals.get(&id) {
+                Some(RecordedStatus::Done) => {}
+                Some(_) => cancelled = true,
+                None => {
+                    if self.jobs.find(&id).is_none() {
+                        self.chains.unknown.entry(id.clone()).or_insert(0);
+                    }
+                    self.chains.waiting.entry(id.clone()).or_default().insert(ix);
+                    if let Some(j) = self.jobs.get_mut(ix) {
+                        j.waits_on.insert(id);
+                    }
+                }
+            }
+        }
+        self.chains.changed = true;
+        if cancelled {
+            self.cancel_through(ix);
+        } else if self.jobs.get(ix).is_some_and(|j| j.state == JobState::Live) {
+            self.job_to(ix, JobState::Live);
+        }
+    }
+
+    /// Takes a job that is over, or forgotten, out of the graph.
+    pub(crate) fn unlink(&mut self, ix: JobIx) {
+        self.chains.raised.remove(&ix);
+        let Some(job) = self.jobs.get_mut(ix) else { return };
+        let id = job.id.clone();
+        for dep in std::mem::take(&mut job.waits_on) {
+            self.chains.changed = true;
+            if let Some(set) = self.chains.waiting.get_mut(&dep) {
+                set.remove(&ix);
+                if set.is_empty() {
+                    self.chains.waiting.remove(&dep);
+                    self.chains.unknown.remove(&dep);
+                }
+            }
+        }
+        // Memory forgets a job that others wait for without knowing its end.
+        if self.chains.needed(&id) && self.finals.get(&id).is_none() {
+            self.chains.unknown.insert(id, 0);
+        }
+    }
+
+    /// An end that stands on record, whoever wrote it.
+    pub(crate) fn learn_final(&mut self, id: &str, status: RecordedStatus) {
+        self.finals.insert(id.to_string(), status);
+        if self.chains.needed(id) {
+            self.chains.settled.push_back((id.to_string(), status));
+        }
+    }
+
+    /// Tells the jobs behind those that have ended.
+    pub(crate) fn settle_chains(&mut self) {
+        while let Some((id, status)) = self.chains.settled.pop_front() {
+            self.chains.unknown.remove(&id);
+            let Some(behind) = self.chains.waiting.remove(&id) else { continue };
+            self.chains.changed = true;
+            for ix in behind {
+                let Some(job) = self.jobs.get_mut(ix) else { continue };
+                job.waits_on.remove(&id);
+                let ready = job.waits_on.is_empty() && job.state == JobState::Waiting;
+                match status {
+                    RecordedStatus::Done if ready => self.job_to(ix, JobState::Live),
+                    RecordedStatus::Aborted => self.cancel_through(ix),
+                    _ => {}
+                }
+            }
+        }
+        if self.chains.changed && self.now.steady_ms >= self.chains.worked_ms + self.cfg.batch_ms()
+        {
+            self.work_out_chains();
+        }
+    }
+
+    /// A job before this one is cancelled on record, and so this one is.
+    fn cancel_through(&mut self, ix: JobIx) {
+        let Some(job) = self.jobs.get(ix) else { return };
+        if matches!(job.state, JobState::Aborted | JobState::Done | JobState::Unreadable) {
+            return;
+        }
+        tracing::info!(job = %job.id, "cancelled through a job that it needs");
+        self.job_to(ix, JobState::Aborted);
+        self.store.touch_job(ix);
+    }
+
+    /// Reads the records of named jobs that memory does not know.
+    pub(crate) fn tick_chains(&mut self) {
+        let now = self.now.steady_ms;
+        let late: Vec<RequestId> =
+            self.chains.walks.iter().filter(|(_, w)| now >= w.until_ms).map(|(r, _)| *r).collect();
+        for request in late {
+            self.chains.walks.remove(&request);
+            self.answer_busy(request);
+        }
+        if !self.leads() {
+            return;
+        }
+        let again = 2 * self.cfg.state_timeout_ms();
+        let due: Vec<String> = self
+            .chains
+            .unknown
+            .iter()
+            .filter(|(_, asked)| **asked == 0 || now >= **asked + again)
+            .map(|(id, _)| id.clone())
+            .take(UNKNOWN_READS)
+            .collect();
+        for id in due {
+            if !self.member.reads.take(now, 1.0, 0.25) {
+                return;
+            }
+            self.chains.unknown.insert(id.clone(), now.max(1));
+            let pending = Pending::ChainRead { job: id.clone(), epoch: self.epoch() };
+            self.state_call("GET", format!("/keys/{}", job_key(&id)), Vec::new(), pending);
+        }
+    }
+
+    pub(crate) fn on_chain_read(&mut self, id: String, outcome: Outcome) {
+        let Ok(pair) = self.read_outcome(outcome) else { return };
+        let record = pair.as_ref().and_then(|p| decode::<JobRecord>(&p.value));
+        let (Some(pair), Some(record)) = (pair, record) else {
+            // Seldom asked again: somebody has to look at it.
+            let later = self.now.steady_ms + self.cfg.lease_ms();
+            if let Some(asked) = self.chains.unknown.get_mut(&id) {
+                *asked = later;
+                tracing::error!(job = %id, "its record is missing or can't be read; the jobs that need it wait");
+            }
+            return;
+        };
+        match record.status {
+            RecordedStatus::Live => {
+                if self.adopt(&id, record, pair.stamp).is_some() {
+                    self.chains.unknown.remove(&id);
+                }
+            }
+            ended => self.learn_final(&id, ended),
+        }
+    }
+
+    /// Jobs in memory that this one waits for, directly or through others; `None` if one
+    /// of them is not in memory. Ends that are on record are no longer waited for.
+    pub(crate) fn before(&self, ix: JobIx) -> Option<Vec<JobIx>> {
+        let mut out = Vec::new();
+        let mut seen = HashSet::from([ix]);
+        let mut open = vec![ix];
+        while let Some(at) = open.pop() {
+            for id in &self.jobs.get(at)?.waits_on {
+                let dep = self.jobs.find(id)?;
+                if seen.insert(dep) {
+                    out.push(dep);
+                    open.push(dep);
+                }
+            }
+        }
+        Some(out)
+    }
+
+    /// How long a job takes from when it is ready, as far as can be known: its tasks at
+    /// once, an image to fetch, a report to hear of its end and a write to record it.
+    fn stage_s(&self, job: &Job) -> f64 {
+        let kinds = self.types.iter().map(|t| self.fetch_s(&job.spec, &t.name));
+        let fetch_s = kinds.fold(0.0, f64::max);
+        let heard_s = (self.cfg.report_ms() + 2 * self.cfg.batch_ms()) as f64 / 1000.0;
+        job.spec.estimate_s + fetch_s + heard_s
+    }
+
+    /// Priorities and deadlines, from the ends of the chains backwards.
+    fn work_out_chains(&mut self) {
+        self.chains.changed = false;
+        self.chains.worked_ms = self.now.steady_ms;
+        // How many of the jobs behind each have not been looked at.
+        let mut behind: BTreeMap<JobIx, usize> = BTreeMap::new();
+        let mut all: BTreeSet<JobIx> = BTreeSet::new();
+        for (id, set) in &self.chains.waiting {
+            all.extend(set);
+            if let Some(ix) = self.jobs.find(id) {
+                all.insert(ix);
+                behind.insert(ix, set.len());
+            }
+        }
+        let mut found: BTreeMap<JobIx, (Rank, Option<Due>)> = BTreeMap::new();
+        let mut open: Vec<JobIx> =
+            all.iter().copied().filter(|ix| !behind.contains_key(ix)).collect();
+        while let Some(ix) = open.pop() {
+            let Some(job) = self.jobs.get(ix) else { continue };
+            let (mut rank, mut due) = (job.spec.rank, job.own_due());
+            if let Some((other, theirs)) = found.remove(&ix) {
+                rank = rank.max(other);
+                due = sooner(due, theirs);
+            }
+            let tail_s = self.stage_s(job);
+            let before: Vec<JobIx> =
+                job.waits_on.iter().filter_map(|id| self.jobs.find(id)).collect();
+            for dep in before {
+                let theirs = due.clone().map(|d| Due { tail_s: d.tail_s + tail_s, ..d });
+                let entry = found.entry(dep).or_insert((Rank::Low, None));
+                entry.0 = entry.0.max(rank);
+                entry.1 = sooner(entry.1.take(), theirs);
+                if let Some(n) = behind.get_mut(&dep) {
+                    *n -= 1;
+                    if *n == 0 {
+                        open.push(dep);
+                    }
+                }
+            }
+            self.raise_to(ix, rank, due);
+        }
+        let old = std::mem::replace(&mut self.chains.raised, all);
+        for ix in old {
+            if self.chains.raised.contains(&ix) {
+                continue;
+            }
+            if let Some((rank, due)) = self.jobs.get(ix).map(|j| (j.spec.rank, j.own_due())) {
+                // No job needs it any more.
+                self.raise_to(ix, rank, due);
+            }
+        }
+        self.deal_due = true;
+        self.preempt_due = true;
+    }
+
+    /// The one function that changes the priority that a job counts as having.
+    fn raise_to(&mut self, ix: JobIx, rank: Rank, due: Option<Due>) {
+        let Some(job) = self.jobs.get_mut(ix) else { return };
+        job.due = due;
+        let old = std::mem::replace(&mut job.rank, rank);
+        if (old == Rank::Low) == (rank == Rank::Low) {
+            return;
+        }
+        // Machines know how much of them the lowest priority uses.
+        let sign = if rank == Rank::Low { 1.0 } else { -1.0 };
+        let room = job.room();
+        let on: Vec<_> = job.tasks().filter_map(|(_, t)| t.state.machine()).collect();
+        for (machine, _) in on {
+            if let Some(m) = self.machines.get_mut(machine) {
+                m.low.add(&room, sign);
+            }
+        }
+    }
+
+    // Walks.
+
+    /// Tells how a job with a live record stands: cancelled if a job before it is.
+    pub(crate) fn walk(&mut self, request: RequestId, answer: JobAnswer, named: Vec<String>) {
+        self.begin_walk(request, Purpose::Tell(answer), named)
+    }
+
+    /// Looks whether all jobs that a submission names were accepted, and takes it then.
+    pub(crate) fn admit(&mut self, request: RequestId, spec: JobSpec) {
+        let accepted = |id: &String| match self.finals.get(id) {
+            // No service is ever done.
+            Some(RecordedStatus::Done) => true,
+            Some(_) => false,
+            None => {
+                let job = self.jobs.find(id).and_then(|ix| self.jobs.get(ix));
+                job.is_some_and(|j| j.stamp > 0 && j.spec.shape != Shape::Service)
+            }
+        };
+        let open = spec.dependencies.iter().filter(|id| !accepted(id)).cloned().collect();
+        self.begin_walk(request, Purpose::Admit(Box::new(spec)), open)
+    }
+
+    fn begin_walk(&mut self, request: RequestId, purpose: Purpose, open: Vec<String>) {
+        if self.chains.walks.len() >= WALKS_MOST {
+            return self.answer_busy(request);
+        }
+        let until_ms = self.now.steady_ms + 3 * self.cfg.state_timeout_ms();
+        let seen = open.iter().cloned().collect();
+        let walk = Walk { purpose, open, seen, reading: 0, waits: false, until_ms };
+        self.chains.walks.insert(request, walk);
+        self.walk_on(request);
+    }
+
+    fn walk_on(&mut self, request: RequestId) {
+        loop {
+            let Some(walk) = self.chains.walks.get_mut(&request) else { return };
+            if walk.reading >= WALK_READS {
+                return;
+            }
+            let Some(id) = walk.open.pop() else { break };
+            if let Purpose::Tell(_) = walk.purpose {
+                match self.finals.get(&id) {
+                    Some(RecordedStatus::Done) => continue,
+                    Some(_) => return self.walk_ended_cancelled(request),
+                    None => {}
+                }
+            }
+            walk.reading += 1;
+            if !self.may_read() {
+                self.chains.walks.remove(&request);
+                return self.answer_busy(request);
+            }
+            let pending = Pending::WalkRead { request, job: id.clone() };
+            self.state_call("GET", format!("/keys/{}", job_key(&id)), Vec::new(), pending);
+        }
+        if self.chains.walks.get(&request).is_none_or(|w| w.reading > 0) {
+            return;
+        }
+        let Some(walk) = self.chains.walks.remove(&request) else { return };
+        match walk.purpose {
+            Purpose::Tell(mut answer) => {
+                if walk.waits {
+                    answer.status = JobStatus::Queued;
+                }
+                self.answer(request, Response::new(200, to_cbor(&answer)))
+            }
+            Purpose::Admit(spec) => self.submit_admitted(request, *spec),
+        }
+    }
+
+    /// A job before the one asked about is cancelled.
+    fn walk_ended_cancelled(&mut self, request: RequestId) {
+        let Some(walk) = self.chains.walks.remove(&request) else { return };
+        let Purpose::Tell(answer) = walk.purpose else { return };
+        self.learn_final(&answer.id, RecordedStatus::Aborted);
+        if let Some(ix) = self.jobs.find(&answer.id).filter(|_| self.leads()) {
+            self.cancel_through(ix);
+        }
+        self.answer_final(request, &answer.id, RecordedStatus::Aborted);
+    }
+
+    pub(crate) fn on_walk_read(&mut self, request: RequestId, id: String, outcome: Outcome) {
+        let read = self.read_outcome(outcome);
+        let Some(walk) = self.chains.walks.get_mut(&request) else { return };
+        walk.reading -= 1;
+        let admits = matches!(walk.purpose, Purpose::Admit(_));
+        let Ok(found) = read else {
+            self.chains.walks.remove(&request);
+            return self.answer_busy(request);
+        };
+        let Some(pair) = found else {
+            let walk = self.chains.walks.remove(&request);
+            return match walk.map(|w| w.purpose) {
+                Some(Purpose::Admit(spec)) => {
+                    self.refuse(request, *spec, 422, "a job in prereqs was never accepted")
+                }
+                _ => {
+                    tracing::error!(job = %id, "the record of a job that others need is missing");
+                    self.answer_busy(request)
+                }
+            };
+        };
+        let Some(record) = decode::<JobRecord>(&pair.value) else {
+            tracing::error!(job = %id, "the job's record can't be read; it is left as it is");
+            self.chains.walks.remove(&request);
+            return self.answer_busy(request);
+        };
+        if admits && record.is_service() {
+            let walk = self.chains.walks.remove(&request);
+            if let Some(Purpose::Admit(spec)) = walk.map(|w| w.purpose) {
+                self.refuse(request, *spec, 422, "a job in prereqs is a service");
+            }
+            return;
+        }
+        match record.status {
+            RecordedStatus::Live if !admits => {
+                let named = record.spec.map(|s| s.dependencies).unwrap_or_default();
+                if let Some(walk) = self.chains.walks.get_mut(&request) {
+                    walk.waits = true;
+                    for dep in named {
+                        if walk.seen.insert(dep.clone()) {
+                            walk.open.push(dep);
+                        }
+                    }
+                }
+            }
+            RecordedStatus::Live => {
+                if self.leads() {
+                    self.adopt(&id, record, pair.stamp);
+                }
+            }
+            RecordedStatus::Done => self.learn_final(&id, RecordedStatus::Done),
+            RecordedStatus::Aborted => {
+                self.learn_final(&id, RecordedStatus::Aborted);
+                if self.leads() {
+                    self.learn_abort(&id, pair.stamp);
+                }
+                if !admits {
+                    return self.walk_ended_cancelled(request);
+                }
+            }
+        }
+        self.walk_on(request);
+    }
+}
+
+/// The deadline that comes first.
+fn sooner(a: Option<Due>, b: Option<Due>) -> Option<Due> {
+    match (a, b) {
+        (Some(a), Some(b)) if b.latest_ms() < a.latest_ms() => Some(b),
+        (Some(a), _) => Some(a),
+        (None, b) => b,
+    }
+}
--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -297,7 +297,7 @@
         }
         let mut jobs: Vec<_> =
             self.jobs.iter().filter(|(_, j)| j.state == JobState::Live).collect();
-        jobs.sort_by_key(|(ix, j)| (std::cmp::Reverse(j.spec.rank), *ix));
+        jobs.sort_by_key(|(ix, j)| (std::cmp::Reverse(j.rank), *ix));
         let mut out = Vec::new();
         let mut extra: Vec<f64> = vec![0.0; self.teams.len()];
         for (_, job) in jobs {
@@ -456,7 +456,7 @@
             .iter()
             .filter(|(_, m)| m.usable() && !m.spot)
             .flat_map(|(_, m)| m.tasks.keys())
-            .filter(|k| self.jobs.get(k.job).is_some_and(|j| j.spec.rank < Rank::Production))
+            .filter(|k| self.jobs.get(k.job).is_some_and(|j| j.rank < Rank::Production))
             .count() as u32;
         let short = wanted.saturating_sub(have + yielding);
         (short > 0).then(|| Unmet { spec: largest.spec.clone(), tasks: short })
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,7 +1,7 @@
 //! All figures that the core goes by: the platform's, the operators', and what
 //! follows from them. Lengths of time are ratios to the platform's figures.
 
-use quartzgate_wire::settings::{Platform, SettingsError};
+use quartzgate_wire::settings::{Platform, SettingsError, StateLimits};
 use serde::Deserialize;
 
 /// Operators' own settings, read from YAML. Every key may be left out.
@@ -65,6 +65,8 @@
 pub struct Config {
     pub platform: Platform,
     pub operator: Operator,
+    /// What fits the state service's limits now and later.
+    pub lowest: StateLimits,
 }
 
 /// Time after which a worker drops an answer to its report (PROTOCOL).
@@ -77,6 +79,11 @@
 }
 
 impl Config {
+    pub fn new(platform: Platform, operator: Operator) -> Self {
+        let lowest = platform.params.state.lowest();
+        Config { platform, operator, lowest }
+    }
+
     pub fn report_ms(&self) -> u64 {
         ms(self.platform.params.workers.report_s)
     }
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -1,6 +1,6 @@
 //! The controller: one value that takes events and gives actions.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use quartzgate_wire::http::Response;
 use quartzgate_wire::msg::{ErrorAnswer, JobSpec, MachineType, Report};
@@ -8,16 +8,18 @@
 use rand::rngs::SmallRng;
 
 use crate::budget::Budget;
+use crate::chains::Chains;
 use crate::cloud::Cloud;
 use crate::config::Config;
 use crate::dispatch::Ratios;
+use crate::format::Format;
 use crate::ids::{JobIx, MachineIx, TaskKey};
 use crate::jobs::Jobs;
 use crate::keeper::Keeper;
 use crate::machines::{Machines, Room};
 use crate::member::{Member, Role};
 use crate::pause::Pause;
-use crate::polls::Polls;
+use crate::polls::{Compared, Polls};
 use crate::post::PostBox;
 use crate::records::RecordedStatus;
 use crate::restore::Restore;
@@ -46,14 +48,18 @@
     Inspect { machine: MachineIx, epoch: u64 },
     Flush { items: Vec<FlushItem>, epoch: u64 },
     Restamp { item: FlushItem, epoch: u64 },
-    Accept { request: RequestId, job: JobIx, epoch: u64 },
+    Accept { request: RequestId, job: JobIx, pieces: u32, epoch: u64 },
     AcceptAlone { request: RequestId, id: String },
     AbortWrite { request: RequestId, job: JobIx, epoch: u64 },
     AbortRead { request: RequestId, id: String },
     AbortAlone { request: RequestId, id: String },
-    Known { request: RequestId, spec: Box<JobSpec> },
+    Known { request: RequestId, spec: Box<JobSpec>, refusal: Option<(u16, &'static str)> },
+    ChainRead { job: String, epoch: u64 },
+    WalkRead { request: RequestId, job: String },
+    FormatRead,
+    Latch { epoch: u64 },
     Poll { request: RequestId, id: String },
-    Compare { asked: BTreeMap<JobIx, Vec<RequestId>>, epoch: u64 },
+    Compare { compared: Compared, epoch: u64 },
     Forward { request: RequestId, sibling: usize, work: Box<UserWork> },
     Beat { sibling: usize },
     Relay { request: RequestId, report: Box<Report> },
@@ -118,6 +124,8 @@
     pending: HashMap<CallId, Pending>,
     pub(crate) member: Member,
     pub(crate) finals: Finals,
+    pub(crate) chains: Chains,
+    pub(crate) format: Format,
     pub(crate) keeper: Keeper,
     pub(crate) polls: Polls,
     pub(crate) post: PostBox,
@@ -158,7 +166,7 @@
 impl Controller {
     pub fn new(cfg: Config, rng: SmallRng) -> Self {
         let teams = vec![TeamUse::default(); cfg.platform.params.teams.len()];
-        let store = Store::new(&cfg);
+        let store = Store::new(&cfg.platform.params.state);
         let cloud = Cloud::new(&cfg);
         let member = Member::new(&cfg);
         Controller {
@@ -170,6 +178,8 @@
             pending: HashMap::new(),
             member,
             finals: Finals::default(),
+            chains: Chains::default(),
+            format: Format::default(),
             keeper: Keeper::new(),
             polls: Polls::default(),
             post: PostBox::default(),
@@ -228,11 +238,13 @@
     fn on_tick(&mut self) {
         self.tick_member();
         self.settle_doubt();
+        self.tick_format();
         self.tick_types();
         self.tick_keeper();
         self.tick_restore();
         self.tick_post();
         self.tick_polls();
+        self.tick_chains();
         if !self.leads() {
             return;
         }
@@ -265,6 +277,7 @@
         if !self.leads() {
             return;
         }
+        self.settle_chains();
         if std::mem::take(&mut self.drain_due) {
             self.drain();
         }
@@ -307,8 +320,12 @@
             Pending::AcceptAlone { request, id } => self.on_accept_alone(request, id, outcome),
             Pending::AbortRead { request, id } => self.on_abort_read(request, id, outcome),
             Pending::AbortAlone { request, id } => self.on_abort_alone(request, id, outcome),
-            Pending::Known { request, spec } => self.on_known(request, *spec, outcome),
-            Pending::Compare { asked, epoch } => self.on_compare(asked, epoch, outcome),
+            Pending::Known { request, spec, refusal } => {
+                self.on_known(request, *spec, refusal, outcome)
+            }
+            Pending::WalkRead { request, job } => self.on_walk_read(request, job, outcome),
+            Pending::FormatRead => self.on_format_read(outcome),
+            Pending::Compare { compared, epoch } => self.on_compare(compared, epoch, outcome),
             Pending::Poll { request, id } => self.on_poll_read(request, id, outcome),
             Pending::Forward { request, sibling, work } => {
                 self.on_forwarded(request, sibling, *work, outcome)
@@ -316,9 +333,9 @@
             Pending::Relay { request, report } => self.on_relayed(request, *report, outcome),
             Pending::Beat { sibling } => self.on_beat(sibling, outcome),
             Pending::Types => self.on_types(outcome),
-            Pending::Accept { request, job, epoch } => {
+            Pending::Accept { request, job, pieces, epoch } => {
                 if epoch == current {
-                    self.on_accept(request, job, outcome)
+                    self.on_accept(request, job, pieces, outcome)
                 } else {
                     self.answer_busy(request)
                 }
@@ -335,6 +352,8 @@
             | Pending::InboxWatch { epoch, .. }
             | Pending::InboxRead { epoch, .. }
             | Pending::ReadAgain { epoch, .. }
+            | Pending::ChainRead { epoch, .. }
+            | Pending::Latch { epoch }
             | Pending::Inspect { epoch, .. }
             | Pending::Flush { epoch, .. }
             | Pending::Restamp { epoch, .. }
@@ -344,6 +363,8 @@
                 if epoch != current => {}
             Pending::Restore { .. } => self.on_restore(outcome),
             Pending::InboxWatch { sent_ms, .. } => self.on_inbox_watch(sent_ms, outcome),
+            Pending::ChainRead { job, .. } => self.on_chain_read(job, outcome),
+            Pending::Latch { .. } => self.on_latch(outcome),
             Pending::ReadAgain { job, .. } => self.on_read_again(job, outcome),
             Pending::InboxRead { job, .. } => self.on_inbox_read(job, outcome),
             Pending::Orders { machine, token, starts } => {
@@ -413,7 +434,8 @@
         self.jobs = Jobs::default();
         self.machines = Machines::default();
         self.teams.iter_mut().for_each(|t| *t = TeamUse::default());
-        self.store = Store::new(&self.cfg);
+        self.store = Store::new(self.limits());
+        self.chains.forget_graph();
         self.cloud = Cloud::new(&self.cfg);
         self.restore = Restore::default();
         self.ratios = Ratios::default();
@@ -465,6 +487,22 @@
     }
 }
 
+impl Controller {
+    /// Sets the budgets by the limits that are to be kept now.
+    pub(crate) fn fit_budgets(&mut self) {
+        let limits = self.limits().clone();
+        let controllers = self.cfg.platform.siblings.len() + 1;
+        let leads = matches!(self.member.role, crate::member::Role::Restoring)
+            || self.member.role == crate::member::Role::Leading;
+        let reads = match leads {
+            true => leader_share(limits.rps),
+            false => follower_share(limits.rps, controllers),
+        };
+        self.member.reads.set_rate(reads.per_s());
+        self.store.writes.set_rate(Store::new(&limits).writes.per_s());
+    }
+}
+
 /// Shares of the state service's limits that the leader may use; the rest is for
 /// the other controllers.
 pub(crate) fn leader_share(limit: f64) -> Budget {
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -17,6 +17,8 @@
 
 /// Chunks of one job that may be under way at a time.
 pub(crate) const OPEN_CHUNKS: usize = 16;
+/// What a probe takes of a record at most: a machine's name and its places.
+const PROBE_BYTES: f64 = 40.0;
 /// Tasks dealt in one go; the rest follow at the next event.
 const DEAL_AT_ONCE: u32 = 256;
 
@@ -55,7 +57,7 @@
     /// Work without haste of a team without a guarantee: it uses what is spare.
     pub(crate) fn guest(&self, job: &Job) -> bool {
         let team = &self.cfg.platform.params.teams[job.team];
-        job.spec.rank == Rank::Low && team.cpus <= 0.0 && team.gpus <= 0.0
+        job.rank == Rank::Low && team.cpus <= 0.0 && team.gpus <= 0.0
     }
 
     pub(crate) fn capacity_of(&self, kind: &str) -> Option<Room> {
@@ -105,7 +107,7 @@
             .jobs
             .iter()
             .filter(|(_, j)| j.state == JobState::Live && j.next < j.spec.tasks && !j.mistaken())
-            .map(|(ix, j)| (j.spec.rank, j.lost, j.at_ms, ix))
+            .map(|(ix, j)| (j.rank, j.lost, j.ready_ms, ix))
             .collect();
         if open.is_empty() {
             return;
@@ -123,8 +125,7 @@
     pub(crate) fn backlog(&self) -> Backlog {
         let mut waiting: BTreeMap<Rank, f64> = BTreeMap::new();
         for (_, j) in self.jobs.iter().filter(|(_, j)| j.waiting > 0) {
-            *waiting.entry(j.spec.rank).or_default() +=
-                f64::from(j.asking(j.waiting)) * j.spec.cpus;
+            *waiting.entry(j.rank).or_default() += f64::from(j.asking(j.waiting)) * j.spec.cpus;
         }
         let all = self
             .machines
@@ -165,12 +166,12 @@
                 let image = m.images.contains_key(&job.spec.image);
                 let fetch_s = self.fetch_s(&job.spec, &m.kind);
                 let mut yields = free;
-                if job.spec.rank == Rank::Normal {
+                if job.rank == Rank::Normal {
                     yields.add(&m.low, 1.0);
                 }
-                for k in m.tasks.keys().filter(|_| job.spec.rank >= Rank::High) {
+                for k in m.tasks.keys().filter(|_| job.rank >= Rank::High) {
                     let Some(j) = self.jobs.get(k.job) else { continue };
-                    if j.spec.rank < job.spec.rank && j.spec.shape != Shape::Gang {
+                    if j.rank < job.rank && j.spec.shape != Shape::Gang {
                         yields.add(&j.room(), 1.0);
                     }
                 }
@@ -260,7 +261,11 @@
         if spec.estimate_s > self.cfg.operator.long_task_s {
             1
         } else {
-            self.cfg.operator.probes
+            // A share with all of its tasks' machines must fit one write.
+            let limits = self.limits();
+            let bytes = limits.value_kb * 1024.0 * (limits.txn_ops - 1) as f64;
+            let fit = bytes / (f64::from(CHUNK) * PROBE_BYTES);
+            self.cfg.operator.probes.min((fit as usize).max(1))
         }
     }
 
@@ -466,7 +471,7 @@
             for (n, t) in job.tasks().filter(|(_, t)| ready(t)).take(most) {
                 let key = TaskKey { job: ix, task: n };
                 let remaining_s = job.remaining_s();
-                waiting.push((job.spec.rank, job.lost, remaining_s, t.arrived, key));
+                waiting.push((job.rank, job.lost, remaining_s, t.arrived, key));
             }
         }
         // As the queues have it.
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -126,12 +126,12 @@
     /// How many of the deadlines that its class has aims for the job can't meet any
     /// more, if what it waits for runs as long as its owner estimates.
     fn lost_deadlines(&self, job: &Job) -> u8 {
-        let Some(deadline_s) = job.spec.deadline_s else { return 0 };
-        let age_s = self.now.wall_ms.saturating_sub(job.at_ms) as f64 / 1000.0;
+        let Some(due) = &job.due else { return 0 };
+        let age_s = self.now.wall_ms.saturating_sub(due.at_ms) as f64 / 1000.0;
         let aims = self.cfg.platform.params.objectives.iter();
         let aims = aims
-            .filter(|o| o.kind == "deadline" && o.class.as_deref() == Some(&job.spec.class))
-            .map(|o| o.times.unwrap_or(1.0) * deadline_s);
+            .filter(|o| o.kind == "deadline" && o.class.as_deref() == Some(&due.class))
+            .map(|o| o.times.unwrap_or(1.0) * due.due_s - due.tail_s);
         aims.filter(|due_s| age_s + job.spec.estimate_s > *due_s).count() as u8
     }
 
@@ -247,7 +247,7 @@
         let team = &self.cfg.platform.params.teams[job.team];
         let placed = &self.teams[job.team].placed;
         Standing {
-            rank: job.spec.rank,
+            rank: job.rank,
             guaranteed: team.cpus > 0.0 && placed.cpus + job.spec.cpus <= team.cpus + 1e-6,
             lost: job.lost,
             // What failed before is not short: it counts once more each time.
@@ -324,18 +324,18 @@
     pub(crate) fn preempt(&mut self) {
         let mut asking: Vec<(Rank, u64, TaskKey)> = Vec::new();
         let on = self.jobs.iter().filter(|(_, j)| j.bound > 0);
-        let Some(lowest) = on.map(|(_, j)| j.spec.rank).min() else { return };
+        let Some(lowest) = on.map(|(_, j)| j.rank).min() else { return };
         for (ix, job) in self.jobs.iter() {
             let gang = job.spec.shape == Shape::Gang;
             let idle = job.waiting == 0 || job.mistaken();
-            if job.state != JobState::Live || idle || job.spec.rank <= lowest || gang {
+            if job.state != JobState::Live || idle || job.rank <= lowest || gang {
                 continue;
             }
             for (n, t) in job.tasks() {
                 let key = TaskKey { job: ix, task: n };
                 let may = t.probes.iter().any(|p| self.startable(job, key, t, p.machine));
                 if may {
-                    asking.push((job.spec.rank, t.arrived, key));
+                    asking.push((job.rank, t.arrived, key));
                 }
             }
         }
@@ -368,7 +368,7 @@
                 let Some(t) = j.task(k.task) else { continue };
                 match t.state {
                     TaskState::Stopping { .. } => room.add(&j.room(), 1.0),
-                    TaskState::On { .. } | TaskState::Starting { .. } if j.spec.rank < rank => {
+                    TaskState::On { .. } | TaskState::Starting { .. } if j.rank < rank => {
                         victims.push((self.loss_of(j, t), *k, j.room()))
                     }
                     _ => {}
@@ -410,7 +410,7 @@
             return 0.0;
         };
         let ran = (self.now.steady_ms - since_ms) as f64 / 1000.0;
-        let rank = match job.spec.rank {
+        let rank = match job.rank {
             Rank::Low => 0.0,
             Rank::Normal => 1000.0,
             Rank::High => 2000.0,
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -1,11 +1,12 @@
 //! Jobs and tasks in the leader's memory, and the one function that changes a
 //! task's state.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use quartzgate_wire::msg::{JobAnswer, JobSpec, JobStatus, Rank, TaskStatus};
 
 use crate::blame::Trust;
+use crate::chains::Due;
 use crate::controller::Controller;
 use crate::deal::OPEN_CHUNKS;
 use crate::ids::{JobIx, MachineIx, TaskKey};
@@ -87,6 +88,10 @@
     pub version: u32,
     pub acked: u32,
     pub stamp: u64,
+    /// Keys over which the record that stands is spread, all with this stamp.
+    pub pieces: u32,
+    /// The record is too large to be written; it is not tried again before then.
+    pub put_off_ms: u64,
 }
 
 impl Chunk {
@@ -100,6 +105,8 @@
 pub enum JobState {
     /// The acceptance is being recorded.
     Recording,
+    /// Accepted; not all jobs that it needs are known to be done on record.
+    Waiting,
     Live,
     /// An abort may have been recorded; until that is known nothing starts.
     Doubtful,
@@ -112,6 +119,13 @@
     Unreadable,
 }
 
+impl JobState {
+    /// Accepted, and not ended on record as far as is known.
+    pub fn lives(self) -> bool {
+        matches!(self, JobState::Live | JobState::Waiting)
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Job {
     pub id: String,
@@ -120,6 +134,14 @@
     pub state: JobState,
     pub stamp: u64,
     pub at_ms: u64,
+    /// Time of day from which on it could run: its acceptance, or the last end of those
+    /// that it needs.
+    pub ready_ms: u64,
+    /// Jobs that it needs and whose ends are not known to be on record.
+    pub waits_on: BTreeSet<String>,
+    /// Priority and deadline that it counts as having; see `chains.rs`.
+    pub rank: Rank,
+    pub due: Option<Due>,
     pub chunks: BTreeMap<u32, Chunk>,
     pub done_chunks: Vec<(u32, u32)>,
     /// A write or a read of the job's own record is under way.
@@ -141,6 +163,8 @@
     /// Tasks that occupy a machine, or are about to.
     pub bound: u32,
     pub aborted_ms: u64,
+    /// Its record was refused by the state service; it is not tried again before then.
+    pub put_off_ms: u64,
     /// When its record was last read again.
     pub read_ms: u64,
     /// How many of its class's deadlines it has lost, looked at each report round.
@@ -284,13 +308,18 @@
         at_ms: u64,
     ) -> Job {
         let ratio = self.ratio_of(&spec);
-        Job {
+        let rank = spec.rank;
+        let mut job = Job {
             id: spec.id.clone(),
             spec,
             team,
             state,
             stamp,
             at_ms,
+            ready_ms: at_ms,
+            waits_on: BTreeSet::new(),
+            rank,
+            due: None,
             chunks: BTreeMap::new(),
             done_chunks: Vec::new(),
             busy: false,
@@ -305,10 +334,13 @@
             trial_ms: 0,
             bound: 0,
             aborted_ms: self.now.steady_ms,
+            put_off_ms: 0,
             read_ms: self.now.steady_ms,
             lost: 0,
             ratio,
-        }
+        };
+        job.due = job.own_due();
+        job
     }
 
     pub(crate) fn new_chunk(&mut self, len: u32) -> Chunk {
@@ -336,6 +368,8 @@
             version: 0,
             acked: 0,
             stamp: 0,
+            pieces: 0,
+            put_off_ms: 0,
         }
     }
 
@@ -345,7 +379,7 @@
         let now = self.now.steady_ms;
         let Some(job) = self.jobs.get_mut(key.job) else { return };
         let (room, team) = (job.room(), job.team);
-        let low = if job.spec.rank == Rank::Low { 1.0 } else { 0.0 };
+        let low = if job.rank == Rank::Low { 1.0 } else { 0.0 };
         let Some(task) = job.task_mut(key.task) else { return };
         let old = std::mem::replace(&mut task.state, state);
         let moved = std::mem::discriminant(&old) != std::mem::discriminant(&state);
@@ -407,6 +441,11 @@
     /// The one function that changes a job's state.
     pub(crate) fn job_to(&mut self, ix: JobIx, state: JobState) {
         let Some(job) = self.jobs.get_mut(ix) else { return };
+        // Nothing of it is dealt before all that it needs is done on record.
+        let state = match state {
+            JobState::Live if !job.waits_on.is_empty() => JobState::Waiting,
+            s => s,
+        };
         // An end on record is an end: nothing that was under way brings the job back.
         if job.state == state || matches!(job.state, JobState::Aborted | JobState::Done) {
             return;
@@ -434,6 +473,7 @@
                     }
                 }
                 self.remember_final(ix, RecordedStatus::Aborted);
+                self.unlink(ix);
             }
             JobState::Done => {
                 let age_ms = self.now.wall_ms.saturating_sub(job.at_ms);
@@ -442,13 +482,20 @@
                 self.remember_final(ix, RecordedStatus::Done);
             }
             JobState::Live if old == JobState::Doubtful => self.touch_all(),
+            JobState::Live if old == JobState::Waiting => {
+                job.ready_ms = self.now.wall_ms;
+                job.read_ms = self.now.steady_ms;
+                self.store.touch_job(ix);
+                self.deal_due = true;
+                self.preempt_due = true;
+            }
             _ => {}
         }
     }
 
     fn remember_final(&mut self, ix: JobIx, status: RecordedStatus) {
-        if let Some(job) = self.jobs.get(ix) {
-            self.finals.insert(job.id.clone(), status);
+        if let Some(id) = self.jobs.get(ix).map(|j| j.id.clone()) {
+            self.learn_final(&id, status);
         }
     }
 
@@ -536,5 +583,9 @@
         }
         self.task_to(key, TaskState::Done { version });
         self.mark_dirty(key.job, key.task / CHUNK);
+        let over = self.jobs.get(key.job).filter(|j| j.done >= j.spec.tasks);
+        if over.is_some_and(|j| self.chains.needed(&j.id)) {
+            self.store.hurry();
+        }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,11 +8,13 @@
 mod api;
 mod blame;
 mod budget;
+mod chains;
 mod cloud;
 pub mod config;
 mod controller;
 mod deal;
 mod dispatch;
+mod format;
 mod gang;
 mod ids;
 mod jobs;
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -233,7 +233,7 @@
     /// Whether users should be sent here: it can decide, or pass on what it can't,
     /// or nobody else can either.
     pub(crate) fn ready(&self) -> bool {
-        if self.member.state_ms.is_none() {
+        if self.member.state_ms.is_none() || self.foreign_format() {
             return false;
         }
         self.has_state()
@@ -299,7 +299,7 @@
         if old == role {
             return;
         }
-        let limits = &self.cfg.platform.params.state;
+        let limits = self.limits().clone();
         let controllers = self.member.siblings.len() + 1;
         match role {
             Role::Follower => {
@@ -594,6 +594,9 @@
 
     fn tick_election(&mut self, now: u64) {
         let LeaseState::Held { permit } = self.member.lease else { return };
+        if self.foreign_format() {
+            return;
+        }
         if matches!(self.member.control, WatchState::Unread | WatchState::Reading) {
             return;
         }
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -6,6 +6,7 @@
 use quartzgate_wire::to_cbor;
 
 use crate::controller::Controller;
+use crate::jobs::JobState;
 use crate::machines::MachineState;
 
 impl Controller {
@@ -23,6 +24,14 @@
         put("epoch", self.epoch() as f64);
         put("leads", f64::from(u8::from(self.leads())));
         put("in_doubt", f64::from(u8::from(self.in_doubt())));
+        put("format_latched", f64::from(u8::from(self.latched())));
+        for (node, version) in &self.format.nodes {
+            put(&format!("format_node.{node}"), f64::from(*version));
+        }
+        let waits = self.jobs.iter().filter(|(_, j)| j.state == JobState::Waiting);
+        put("jobs_waiting_for_jobs", waits.count() as f64);
+        put("chain_links", self.chains.edges() as f64);
+        put("chain_unknown", self.chains.unknown() as f64);
         put("pauses_noticed", self.pause.noticed as f64);
         let (mut waiting, mut on, mut mistaken) = (0, 0, 0);
         for (_, j) in self.jobs.iter() {
--- a/crates/core/src/polls.rs
+++ b/crates/core/src/polls.rs
@@ -2,7 +2,7 @@
 //! while share one fresh read, sent after the last of them came: a transaction that
 //! changes nothing and only compares the jobs' stamps with those that memory rests on.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use quartzgate_wire::http::Response;
 use quartzgate_wire::msg::{Guard, JobAnswer, JobStatus, Transaction, TransactionAnswer};
@@ -10,13 +10,23 @@
 
 use crate::controller::{Controller, Pending};
 use crate::ids::JobIx;
-use crate::jobs::{Job, JobState};
-use crate::records::job_key;
+use crate::jobs::Job;
+use crate::records::{job_key, JOBS};
 use crate::{Outcome, RequestId};
 
 /// Who asked about which job.
 type Asked = BTreeMap<JobIx, Vec<RequestId>>;
 
+/// A comparison of what answers rest on with what stands.
+#[derive(Debug, Default)]
+pub(crate) struct Compared {
+    asked: Asked,
+    /// Records, with the stamps that memory rests on, that are still to be compared.
+    open: BTreeMap<JobIx, u64>,
+    /// Jobs whose records have changed.
+    changed: BTreeSet<JobIx>,
+}
+
 #[derive(Default)]
 pub(crate) struct Polls {
     asked: Asked,
@@ -55,31 +65,55 @@
         }
         self.polls.sent_ms = now;
         self.polls.waiting = 0;
-        let mut asked = std::mem::take(&mut self.polls.asked);
-        while !asked.is_empty() {
-            let most = GUARDS_PER_OP * self.cfg.platform.params.state.txn_ops;
-            let rest = asked.keys().nth(most).copied().map(|ix| asked.split_off(&ix));
-            self.compare(asked);
-            asked = rest.unwrap_or_default();
+        let most = GUARDS_PER_OP * self.limits().txn_ops;
+        let mut batch = Compared::default();
+        for (ix, ids) in std::mem::take(&mut self.polls.asked) {
+            let Some(rests_on) = self.rests_on(ix) else {
+                // A record is under way, or has ended meanwhile.
+                self.ask_singly(ix, ids);
+                continue;
+            };
+            // One job's may be more than one comparison takes: they go one after another.
+            let more = rests_on.iter().filter(|(j, _)| !batch.open.contains_key(j)).count();
+            if batch.open.len() + more > most && !batch.open.is_empty() {
+                self.compare(std::mem::take(&mut batch));
+            }
+            batch.asked.insert(ix, ids);
+            batch.open.extend(rests_on);
         }
+        self.compare(batch);
     }
 
-    fn compare(&mut self, mut asked: Asked) {
-        let changed = |ix: &JobIx| !self.jobs.get(*ix).is_some_and(comparable);
-        let gone: Vec<JobIx> = asked.keys().copied().filter(changed).collect();
-        for ix in gone {
-            // Its record is under way, or it has ended meanwhile.
-            let ids = asked.remove(&ix).unwrap_or_default();
-            self.ask_singly(ix, ids);
+    /// The records, with their stamps, on which what memory says of a job rests: its own,
+    /// and those of the jobs that it waits for, directly or through others.
+    fn rests_on(&self, ix: JobIx) -> Option<BTreeMap<JobIx, u64>> {
+        let mut all = self.before(ix)?;
+        all.push(ix);
+        let stamp = |j: &JobIx| self.jobs.get(*j).filter(|j| comparable(j)).map(|j| j.stamp);
+        all.into_iter().map(|j| Some((j, stamp(&j)?))).collect()
+    }
+
+    fn compare(&mut self, mut compared: Compared) {
+        if compared.asked.is_empty() {
+            return;
         }
         if !self.may_read() {
-            return asked.into_values().flatten().for_each(|id| self.answer_busy(id));
+            return compared.asked.into_values().flatten().for_each(|id| self.answer_busy(id));
+        }
+        let most = GUARDS_PER_OP * self.limits().txn_ops;
+        let now: Vec<(JobIx, u64)> =
+            compared.open.iter().take(most).map(|(j, s)| (*j, *s)).collect();
+        let mut guards = Vec::with_capacity(now.len());
+        for (ix, stamp) in now {
+            compared.open.remove(&ix);
+            match self.jobs.get(ix) {
+                Some(j) => guards.push(Guard { path: job_key(&j.id), stamp }),
+                // It has ended since.
+                None => drop(compared.changed.insert(ix)),
+            }
         }
-        let jobs = asked.keys().filter_map(|ix| self.jobs.get(*ix));
-        let guards: Vec<Guard> =
-            jobs.map(|j| Guard { path: job_key(&j.id), stamp: j.stamp }).collect();
         let body = to_cbor(&Transaction { guards, apply: Vec::new() });
-        let pending = Pending::Compare { asked, epoch: self.epoch() };
+        let pending = Pending::Compare { compared, epoch: self.epoch() };
         self.state_call("POST", "/multi".into(), body, pending);
     }
 
@@ -93,7 +127,7 @@
         }
     }
 
-    pub(crate) fn on_compare(&mut self, asked: Asked, epoch: u64, outcome: Outcome) {
+    pub(crate) fn on_compare(&mut self, mut compared: Compared, epoch: u64, outcome: Outcome) {
         let failed = match &outcome {
             Outcome::Answer(r) if r.status == 200 => Some(Vec::new()),
             Outcome::Answer(r) if r.status == 409 => {
@@ -107,23 +141,31 @@
         };
         // Another memory's keys say nothing of ours.
         let Some(failed) = failed.filter(|_| epoch == self.epoch()) else {
-            return asked.into_values().flatten().for_each(|id| self.answer_busy(id));
+            return compared.asked.into_values().flatten().for_each(|id| self.answer_busy(id));
         };
         self.state_answered();
-        for (ix, ids) in asked {
-            let stands = |j: &Job| j.state == JobState::Live && !failed.contains(&job_key(&j.id));
-            match self.jobs.get(ix).filter(|j| stands(j)).map(live_answer) {
+        for path in failed {
+            let found = path.strip_prefix(JOBS).and_then(|id| self.jobs.find(id));
+            let Some(ix) = found else { continue };
+            compared.changed.insert(ix);
+            // Memory is behind its record, or the record behind a late write.
+            if self.jobs.get(ix).is_some_and(comparable) {
+                self.restamp_job(ix);
+            }
+        }
+        if !compared.open.is_empty() {
+            return self.compare(compared);
+        }
+        for (ix, ids) in compared.asked {
+            let changed = |j: &JobIx| compared.changed.contains(j);
+            let changed = changed(&ix) || self.before(ix).is_none_or(|b| b.iter().any(changed));
+            let stands = |j: &&Job| j.state.lives() && !changed;
+            match self.jobs.get(ix).filter(stands).map(live_answer) {
                 Some(answer) => {
                     let body = to_cbor(&answer);
                     ids.into_iter().for_each(|id| self.answer(id, Response::new(200, body.clone())))
                 }
-                None => {
-                    self.ask_singly(ix, ids);
-                    // Memory is behind its record, or the record behind a late write.
-                    if self.jobs.get(ix).is_some_and(comparable) {
-                        self.restamp_job(ix);
-                    }
-                }
+                None => self.ask_singly(ix, ids),
             }
         }
     }
@@ -137,7 +179,7 @@
 
 /// Memory rests on a record of the job whose stamp is known.
 fn comparable(job: &Job) -> bool {
-    job.state == JobState::Live && !job.busy && job.stamp > 0
+    job.state.lives() && !job.busy && job.stamp > 0
 }
 
 /// What is told of a job that had not ended at the time of a read: its end is told
--- a/crates/core/src/post.rs
+++ b/crates/core/src/post.rs
@@ -19,7 +19,7 @@
 use crate::ids::{in_epoch, MachineIx, TaskKey};
 use crate::machines::sane;
 use crate::member::Role;
-use crate::records::{decode, encode, json_size, post_key, POST, VIEW};
+use crate::records::{checked_size, decode, encode, post_key, POST, VIEW};
 use crate::{Outcome, Peer};
 
 /// Orders for one worker.
@@ -87,7 +87,7 @@
 fn fill<T: Serialize>(from: &mut VecDeque<T>, room: &mut usize) -> Vec<T> {
     let mut out = Vec::new();
     while let Some(first) = from.front() {
-        let size = json_size(first) + 1;
+        let size = checked_size(first) + 1;
         if size > *room {
             break;
         }
@@ -174,14 +174,14 @@
         if !self.store.writes.take(now, 1.0, 0.0) {
             return;
         }
-        let kb = self.cfg.platform.params.state.value_kb;
-        let mut room = (kb * 1024.0 * FILL) as usize;
+        let mut room = (self.value_most() as f64 * FILL) as usize;
+        self.drop_oversize(at, room);
         let Some(tray) = self.post.trays.get_mut(&at) else { return };
         let orders = fill(&mut tray.orders, &mut room);
         let replies = fill(&mut tray.replies, &mut room);
         let mut reports = Vec::new();
         while let Some(first) = tray.reports.first_entry() {
-            let size = json_size(first.get()) + 1;
+            let size = checked_size(first.get()) + 1;
             if size > room {
                 break;
             }
@@ -207,6 +207,28 @@
         self.state_call("POST", "/multi".into(), body, Pending::Post { ids });
     }
 
+    /// What no post can hold must not stand in the way of what comes after it.
+    fn drop_oversize(&mut self, at: usize, room: usize) {
+        let Some(tray) = self.post.trays.get_mut(&at) else { return };
+        let large = |size: usize| size + 1 > room;
+        for reply in tray.replies.iter_mut().filter(|r| large(checked_size(*r))) {
+            tracing::debug!(id = reply.id, "a worker's answer is too large to be posted");
+            reply.report = None;
+        }
+        tray.reports.retain(|machine, r| {
+            let fits = !large(checked_size(r));
+            if !fits {
+                tracing::debug!(%machine, "its report is too large to be posted");
+            }
+            fits
+        });
+        let letters = tray.orders.iter().filter(|l| large(checked_size(*l)));
+        for id in letters.map(|l| l.id).collect::<Vec<u64>>() {
+            tracing::info!(id, "orders are too large to be posted; they are not sent");
+            self.post_ended(id, Outcome::NotSent);
+        }
+    }
+
     pub(crate) fn on_post_written(&mut self, ids: Vec<u64>, outcome: Outcome) {
         self.post.busy = false;
         let Outcome::Answer(r) = outcome else {
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -10,9 +10,17 @@
 //! | `jobs/<ref>` | the spec, then how it ended |
 //! | `shares/<ref>/<part>/<chunk>` | tasks dealt to a part, probes, ends |
 //! | `inbox/<ref>` | a job or abort recorded past the leader, for it to look at |
+//! | `format` | the format that all controllers write from now on; absent before format 2 |
+//! | `format/node/<node>` | the newest format that a controller can read and write |
+//!
+//! Format 1 is that of the first version. Format 2 adds a job's dependencies, packs shares
+//! more closely, and spreads a share over several keys, `<chunk>`, `<chunk>.1` and so on,
+//! where one value would be too large.
+
+use std::collections::BTreeMap;
 
 use ciborium::value::Value;
-use quartzgate_wire::msg::JobSpec;
+use quartzgate_wire::msg::{JobSpec, Shape};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 
 pub const VIEW: &str = "view";
@@ -25,6 +33,11 @@
 pub const JOBS: &str = "jobs/";
 pub const SHARES: &str = "shares/";
 pub const INBOX: &str = "inbox/";
+/// The format that stands, and what each controller can do; see `format.rs`.
+pub const FORMAT: &str = "format";
+pub const FORMAT_NODES: &str = "format/node/";
+/// The newest format that this version reads and writes.
+pub const FORMAT_VERSION: u32 = 2;
 /// The only part while the view holds the leader's part alone.
 pub const SOLE_PART: &str = "0";
 
@@ -48,16 +61,36 @@
 }
 
 pub fn share_key(id: &str, chunk: u32) -> String {
-    format!("{SHARES}{id}/{SOLE_PART}/{chunk}")
+    piece_key(id, chunk, 0)
+}
+
+/// Key of one piece of a share.
+pub fn piece_key(id: &str, chunk: u32, piece: u32) -> String {
+    match piece {
+        0 => format!("{SHARES}{id}/{SOLE_PART}/{chunk}"),
+        n => format!("{SHARES}{id}/{SOLE_PART}/{chunk}.{n}"),
+    }
+}
+
+/// Keys of all pieces of a share.
+pub fn piece_keys(id: &str, chunk: u32, pieces: u32) -> impl Iterator<Item = String> + '_ {
+    (0..pieces).map(move |n| piece_key(id, chunk, n))
 }
 
 /// Job id and chunk of a share's key.
 pub fn parse_share_key(key: &str) -> Option<(&str, u32)> {
     let mut parts = key.strip_prefix(SHARES)?.split('/');
     let (id, _part, chunk) = (parts.next()?, parts.next()?, parts.next()?);
+    let chunk = chunk.split('.').next()?;
     Some((id, chunk.parse().ok()?))
 }
 
+/// Which format stands, or what a controller can do.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FormatRecord {
+    pub version: u32,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct View {
     pub epoch: u64,
@@ -90,6 +123,26 @@
     /// Chunks all of whose tasks are done and whose shares are gone.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub done_chunks: Vec<(u32, u32)>,
+    /// The job was a service: no other job may name it. Told by the spec while that is kept.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub service: bool,
+}
+
+impl JobRecord {
+    pub fn is_service(&self) -> bool {
+        self.service || self.spec.as_ref().is_some_and(|s| s.shape == Shape::Service)
+    }
+
+    /// The record of a job that ends, as small as the limit asks: while tasks of it may
+    /// be on machines its spec is kept, without what only new starts would need.
+    pub fn end_within(&mut self, most: usize) {
+        if checked_size(self) > most {
+            if let Some(spec) = &mut self.spec {
+                spec.types = None;
+                spec.dependencies.clear();
+            }
+        }
+    }
 }
 
 /// Tasks `from..=to` may be on the machines named, and on no others.
@@ -113,6 +166,152 @@
     pub zones: Vec<String>,
 }
 
+/// One key's worth of a share since format 2. Tasks are counted from the chunk's first.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SharePiece {
+    pub format: u32,
+    pub epoch: u64,
+    /// Keys over which the share is spread; they are always written together.
+    pub of: u32,
+    pub machines: Vec<String>,
+    /// First task, last task, then places in `machines`.
+    pub sets: Vec<Vec<u32>>,
+    pub done: Vec<(u32, u32)>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub zones: Vec<(u32, u32, String)>,
+}
+
+/// A share as it was read, perhaps still lacking pieces.
+#[derive(Clone, Debug)]
+pub struct GatheredShare {
+    pub record: ShareRecord,
+    pub stamp: u64,
+    pub of: u32,
+    pub have: u32,
+}
+
+impl GatheredShare {
+    pub fn whole(&self) -> bool {
+        self.have == self.of
+    }
+
+    /// Takes in another piece; false if they don't belong together.
+    pub fn join(&mut self, other: GatheredShare) -> bool {
+        if (self.stamp, self.of) != (other.stamp, other.of) || self.whole() {
+            return false;
+        }
+        let base = self.record.machines.len() as u32;
+        self.record.machines.extend(other.record.machines);
+        self.record.sets.extend(other.record.sets.into_iter().map(|mut set| {
+            set.machines.iter_mut().for_each(|m| *m += base);
+            set
+        }));
+        self.record.done.extend(other.record.done);
+        let zones = &mut self.record.zones;
+        for (at, zone) in other.record.zones.into_iter().enumerate() {
+            match zones.get_mut(at) {
+                Some(z) if z.is_empty() => *z = zone,
+                Some(_) => {}
+                None => zones.push(zone),
+            }
+        }
+        self.have += 1;
+        true
+    }
+}
+
+/// A share, or a piece of one, in whatever format it stands.
+pub fn read_share(key: &str, value: &Value, stamp: u64) -> Option<GatheredShare> {
+    let (_, chunk) = parse_share_key(key)?;
+    let named = |k: &Value| k.as_text() == Some("format");
+    if !value.as_map()?.iter().any(|(k, _)| named(k)) {
+        return decode(value).map(|record| GatheredShare { record, stamp, of: 1, have: 1 });
+    }
+    let piece: SharePiece = decode(value)?;
+    if piece.format != FORMAT_VERSION || piece.of == 0 || piece.of > CHUNK {
+        return None;
+    }
+    let first = chunk.checked_mul(CHUNK)?;
+    let within = |a: u32, b: u32| a <= b && b < CHUNK;
+    let mut sets = Vec::with_capacity(piece.sets.len());
+    for set in &piece.sets {
+        let (from, to) = (*set.first()?, *set.get(1)?);
+        if !within(from, to) {
+            return None;
+        }
+        sets.push(ProbeSet { from: first + from, to: first + to, machines: set[2..].to_vec() });
+    }
+    let mut zones = Vec::new();
+    for (from, to, zone) in &piece.zones {
+        if !within(*from, *to) {
+            return None;
+        }
+        zones.resize(zones.len().max(*to as usize + 1), String::new());
+        zones[*from as usize..=*to as usize].fill(zone.clone());
+    }
+    if !piece.done.iter().all(|(a, b)| within(*a, *b)) {
+        return None;
+    }
+    let done = piece.done.iter().map(|(a, b)| (first + a, first + b)).collect();
+    let record = ShareRecord { epoch: piece.epoch, machines: piece.machines, sets, done, zones };
+    Some(GatheredShare { record, stamp, of: piece.of, have: 1 })
+}
+
+/// Packs a share into as many pieces as values of at most `most` bytes take.
+pub fn pack_share(record: &ShareRecord, chunk: u32, most: usize) -> Vec<SharePiece> {
+    let mut pieces = Vec::new();
+    let mut open = vec![(0, CHUNK - 1)];
+    while let Some((from, to)) = open.pop() {
+        let piece = cut_share(record, chunk * CHUNK, from, to);
+        if from == to || checked_size(&piece) <= most {
+            pieces.push(piece);
+        } else {
+            let middle = from + (to - from) / 2;
+            open.push((middle + 1, to));
+            open.push((from, middle));
+        }
+    }
+    let of = pieces.len() as u32;
+    pieces.iter_mut().for_each(|p| p.of = of);
+    pieces
+}
+
+/// What a share says of some of its tasks.
+fn cut_share(record: &ShareRecord, first: u32, from: u32, to: u32) -> SharePiece {
+    let clip = |a: u32, b: u32| {
+        let (a, b) = (a.saturating_sub(first).max(from), b.saturating_sub(first).min(to));
+        (a <= b).then_some((a, b))
+    };
+    let mut machines: Vec<String> = Vec::new();
+    let mut places: BTreeMap<u32, u32> = BTreeMap::new();
+    let mut sets = Vec::new();
+    for set in &record.sets {
+        let Some((a, b)) = clip(set.from, set.to) else { continue };
+        let mut out = vec![a, b];
+        for m in &set.machines {
+            out.push(*places.entry(*m).or_insert_with(|| {
+                machines.push(record.machines.get(*m as usize).cloned().unwrap_or_default());
+                machines.len() as u32 - 1
+            }));
+        }
+        sets.push(out);
+    }
+    let mut zones: Vec<(u32, u32, String)> = Vec::new();
+    for (at, zone) in record.zones.iter().enumerate() {
+        let at = at as u32;
+        if zone.is_empty() || at < from || at > to {
+            continue;
+        }
+        match zones.last_mut() {
+            Some((_, last, z)) if *last + 1 == at && z == zone => *last = at,
+            _ => zones.push((at, at, zone.clone())),
+        }
+    }
+    let done = record.done.iter().filter_map(|(a, b)| clip(*a, *b)).collect();
+    let (format, epoch) = (FORMAT_VERSION, record.epoch);
+    SharePiece { format, epoch, of: 1, machines, sets, done, zones }
+}
+
 pub fn encode<T: Serialize>(record: &T) -> Value {
     Value::serialized(record).expect("records are plain data")
 }
@@ -126,6 +325,13 @@
     serde_json::to_vec(record).map_or(usize::MAX, |v| v.len())
 }
 
+/// The same, as large as a writer that puts a space after every comma and colon would
+/// make it: what is held against a limit.
+pub fn checked_size<T: Serialize>(record: &T) -> usize {
+    serde_json::to_vec(record)
+        .map_or(usize::MAX, |v| v.len() + v.iter().filter(|b| matches!(b, b',' | b':')).count())
+}
+
 /// Numbers as inclusive ranges.
 pub fn ranges(numbers: impl IntoIterator<Item = u32>) -> Vec<(u32, u32)> {
     let mut out: Vec<(u32, u32)> = Vec::new();
--- a/crates/core/src/restore.rs
+++ b/crates/core/src/restore.rs
@@ -12,14 +12,15 @@
 use crate::machines::{sane, MachineState};
 use crate::member::Role;
 use crate::records::{
-    decode, job_key, parse_share_key, share_key, JobRecord, RecordedStatus, ShareRecord, CHUNK,
-    INBOX, JOBS, SHARES,
+    decode, job_key, parse_share_key, piece_keys, read_share, share_key, GatheredShare, JobRecord,
+    RecordedStatus, CHUNK, FORMAT, INBOX, JOBS, SHARES,
 };
 use crate::{Outcome, Peer};
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Phase {
     #[default]
+    Format,
     Jobs,
     Shares,
     Inbox,
@@ -34,6 +35,20 @@
     aborted: BTreeMap<String, (JobRecord, u64)>,
     retry_ms: Option<u64>,
     broken: BTreeSet<String>,
+    /// Shares some of whose pieces have not been read yet.
+    partial: BTreeMap<JobIx, BTreeMap<u32, GatheredShare>>,
+}
+
+/// Joins what was read of a share with what was read of it before.
+fn gather(shares: &mut BTreeMap<u32, GatheredShare>, chunk: u32, share: GatheredShare) -> bool {
+    use std::collections::btree_map::Entry;
+    match shares.entry(chunk) {
+        Entry::Vacant(e) => {
+            e.insert(share);
+            true
+        }
+        Entry::Occupied(mut e) => e.get_mut().join(share),
+    }
 }
 
 /// Items asked for at a time.
@@ -48,6 +63,7 @@
 
     fn restore_next(&mut self) {
         let prefix = match self.restore.phase {
+            Phase::Format => FORMAT,
             Phase::Jobs => JOBS,
             Phase::Shares => SHARES,
             Phase::Inbox => INBOX,
@@ -83,12 +99,20 @@
             return;
         };
         self.state_answered();
+        // Under this view nobody else can change the format: what stands now stands.
+        if self.restore.phase == Phase::Format {
+            self.see_format(&list.pairs);
+            if self.foreign_format() {
+                return self.role_to(Role::Follower);
+            }
+        }
         self.restore.rev.get_or_insert(list.ledger_rev);
         let last = list.pairs.last().map(|p| p.path.clone());
         let phase = self.restore.phase;
-        let mut shares: BTreeMap<JobIx, BTreeMap<u32, (ShareRecord, u64)>> = BTreeMap::new();
+        let mut shares = std::mem::take(&mut self.restore.partial);
         for pair in list.pairs {
             match phase {
+                Phase::Format => {}
                 Phase::Jobs => {
                     let id = pair.path.trim_start_matches(JOBS).to_string();
                     match decode::<JobRecord>(&pair.value) {
@@ -109,21 +133,21 @@
                         self.store.clear_inbox(pair.path);
                         continue;
                     };
-                    match decode::<ShareRecord>(&pair.value) {
-                        Some(record) => {
-                            shares.entry(ix).or_default().insert(chunk, (record, pair.stamp));
-                        }
-                        None => {
-                            tracing::error!(key = %pair.path, "a share can't be read; its job is left alone");
-                            self.job_to(ix, JobState::Unreadable);
-                        }
+                    let read = read_share(&pair.path, &pair.value, pair.stamp);
+                    if !read.is_some_and(|s| gather(shares.entry(ix).or_default(), chunk, s)) {
+                        self.broken_share(ix, &pair.path);
                     }
                 }
                 Phase::Inbox => self.store.clear_inbox(pair.path),
             }
         }
         for (ix, chunks) in shares {
-            self.load_chunks(ix, chunks);
+            let (whole, partial): (BTreeMap<_, _>, BTreeMap<_, _>) =
+                chunks.into_iter().partition(|(_, s)| s.whole());
+            self.load_chunks(ix, whole);
+            if !partial.is_empty() {
+                self.restore.partial.insert(ix, partial);
+            }
         }
         if list.more && last.is_some() {
             self.restore.since = last;
@@ -131,13 +155,34 @@
         }
         self.restore.since = None;
         self.restore.phase = match phase {
-            Phase::Jobs => Phase::Shares,
-            Phase::Shares => Phase::Inbox,
+            Phase::Format => Phase::Jobs,
+            Phase::Jobs => {
+                // All ends are known now: what waits for what can be told.
+                for ix in self.jobs.indexes() {
+                    self.link(ix);
+                }
+                Phase::Shares
+            }
+            Phase::Shares => {
+                for (ix, chunks) in std::mem::take(&mut self.restore.partial) {
+                    for chunk in chunks.into_keys() {
+                        let key = self.jobs.get(ix).map(|j| share_key(&j.id, chunk));
+                        self.broken_share(ix, &key.unwrap_or_default());
+                    }
+                }
+                Phase::Inbox
+            }
             Phase::Inbox => return self.restored(),
         };
         self.restore_next();
     }
 
+    /// A share that can't be read, or lacks a piece: its job stops, and no other.
+    fn broken_share(&mut self, ix: JobIx, key: &str) {
+        tracing::error!(key, "a share can't be read; its job is left alone");
+        self.job_to(ix, JobState::Unreadable);
+    }
+
     fn restore_job(&mut self, id: String, record: JobRecord, stamp: u64) {
         match record.status {
             RecordedStatus::Live => {
@@ -146,7 +191,7 @@
                 }
             }
             status => {
-                self.finals.insert(id.clone(), status);
+                self.learn_final(&id, status);
                 if status == RecordedStatus::Aborted && record.spec.is_some() {
                     self.restore.aborted.insert(id, (record, stamp));
                 }
@@ -189,7 +234,8 @@
 
     /// Takes a share into memory. Every machine that it names may hold the task,
     /// unless this owner wrote it and so knows better.
-    pub(crate) fn load_chunk(&mut self, ix: JobIx, chunk: u32, record: ShareRecord, stamp: u64) {
+    pub(crate) fn load_chunk(&mut self, ix: JobIx, chunk: u32, share: GatheredShare) {
+        let GatheredShare { record, stamp, of, .. } = share;
         let own = record.epoch == self.epoch();
         let Some(job) = self.jobs.get(ix) else { return };
         if chunk >= job.chunk_count() || job.chunks.contains_key(&chunk) {
@@ -197,12 +243,13 @@
         }
         // Folded into the job's record already: counted once, and cleared away.
         if job.in_done_chunk(chunk * CHUNK) {
-            let path = share_key(&job.id, chunk);
-            return self.store.clear_inbox(path);
+            let paths: Vec<String> = piece_keys(&job.id, chunk, of).collect();
+            return paths.into_iter().for_each(|p| self.store.clear_inbox(p));
         }
         let (len, zone_rule) = (job.chunk_len(chunk), job.spec.together);
         let mut fresh = self.new_chunk(len);
         (fresh.stamp, fresh.version, fresh.acked) = (stamp, 0, 0);
+        fresh.pieces = of;
         let machines: Vec<MachineIx> = record.machines.iter().map(|n| self.machine(n)).collect();
         let zones = self.cfg.platform.params.zones.clone();
         let zone_of = |i: u32| {
@@ -313,6 +360,7 @@
         if let Some(j) = self.jobs.get_mut(ix) {
             (j.state, j.busy) = (JobState::Recording, true);
         }
+        self.link(ix);
         self.read_shares(ix);
         Some(ix)
     }
@@ -334,16 +382,19 @@
             return self.drop_job(ix);
         };
         self.state_answered();
+        let mut shares = BTreeMap::new();
         for pair in list.pairs {
             let Some((_, chunk)) = parse_share_key(&pair.path) else { continue };
-            match decode::<ShareRecord>(&pair.value) {
-                Some(record) => self.load_chunk(ix, chunk, record, pair.stamp),
-                None => {
-                    tracing::error!(key = %pair.path, "a share can't be read; its job is left alone");
-                    return self.job_to(ix, JobState::Unreadable);
-                }
+            let read = read_share(&pair.path, &pair.value, pair.stamp);
+            if !read.is_some_and(|s| gather(&mut shares, chunk, s)) {
+                return self.broken_share(ix, &pair.path);
             }
         }
+        if let Some((chunk, _)) = shares.iter().find(|(_, s)| !s.whole()) {
+            let key = self.jobs.get(ix).map(|j| share_key(&j.id, *chunk));
+            return self.broken_share(ix, &key.unwrap_or_default());
+        }
+        self.load_chunks(ix, shares);
         if let Some(j) = self.jobs.get_mut(ix) {
             j.busy = false;
         }
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -3,17 +3,19 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use quartzgate_wire::msg::{Change, Guard, Pair, Rank, Transaction, TransactionAnswer};
+use ciborium::value::Value;
+use quartzgate_wire::msg::{Change, Guard, Pair, Rank, Shape, Transaction, TransactionAnswer};
+use quartzgate_wire::settings::StateLimits;
 use quartzgate_wire::{from_cbor, to_cbor};
 
 use crate::budget::Budget;
-use crate::config::Config;
 use crate::controller::{leader_share, Controller, Pending};
 use crate::deal::OPEN_CHUNKS;
 use crate::ids::{JobIx, TaskKey};
-use crate::jobs::{Chunk, JobState, TaskState};
+use crate::jobs::{Chunk, Job, JobState, TaskState};
 use crate::records::{
-    decode, encode, job_key, json_size, share_key, JobRecord, RecordedStatus, ShareRecord, VIEW,
+    checked_size, decode, encode, job_key, json_size, pack_share, piece_key, piece_keys,
+    read_share, share_key, GatheredShare, JobRecord, RecordedStatus, VIEW,
 };
 use crate::Outcome;
 
@@ -23,6 +25,8 @@
     Chunk {
         job: JobIx,
         chunk: u32,
+        /// Keys over which the record is spread from now on.
+        pieces: u32,
     },
     /// The job's end, together with the removal of its shares.
     End {
@@ -72,6 +76,42 @@
     since_ms: Option<u64>,
     /// When it was last looked at what there is to write.
     looked_ms: u64,
+    /// An end that other jobs wait for is to be written.
+    urgent: bool,
+    /// A write was refused as malformed or too large: so many go out by themselves, until
+    /// it is known which it was.
+    singly: usize,
+}
+
+/// A chunk's record, ready to be written over what stands of it.
+pub(crate) struct ShareWrite {
+    pub pieces: u32,
+    /// Keys that stand, and their stamp.
+    old: u32,
+    stamp: u64,
+    values: Vec<Value>,
+    bytes: usize,
+    /// Some value is too large for any write.
+    oversize: bool,
+}
+
+impl ShareWrite {
+    pub fn changes(&self) -> usize {
+        self.pieces.max(self.old) as usize
+    }
+
+    /// Adds it to a transaction: all pieces, old and new, change together.
+    pub fn enter(self, id: &str, chunk: u32, guards: &mut Vec<Guard>, apply: &mut Vec<Change>) {
+        let (pieces, old, stamp) = (self.pieces, self.old, self.stamp);
+        for n in 0..pieces.max(old) {
+            let stamp = if n < old { stamp } else { 0 };
+            guards.push(Guard { path: piece_key(id, chunk, n), stamp });
+        }
+        for (n, value) in (0..).zip(self.values) {
+            apply.push(Change::Set { set: piece_key(id, chunk, n), value, permit: None });
+        }
+        apply.extend((pieces..old).map(|n| Change::Delete { delete: piece_key(id, chunk, n) }));
+    }
 }
 
 /// Chunks that are folded in one write, if there are so many.
@@ -80,15 +120,17 @@
 const TXN_BYTES: usize = 60 * 1024;
 
 impl Store {
-    pub fn new(cfg: &Config) -> Self {
+    pub fn new(limits: &StateLimits) -> Self {
         Store {
-            writes: leader_share(cfg.platform.params.state.write_rps * 1.15),
+            writes: leader_share(limits.write_rps * 1.15),
             dirty: BTreeSet::new(),
             jobs: BTreeSet::new(),
             inbox: BTreeSet::new(),
             flushing: false,
             since_ms: None,
             looked_ms: 0,
+            urgent: false,
+            singly: 0,
         }
     }
 
@@ -101,6 +143,11 @@
         self.jobs.insert(ix);
     }
 
+    /// An end that others wait for doesn't wait for more to come together.
+    pub fn hurry(&mut self) {
+        self.urgent = true;
+    }
+
     pub fn clear_inbox(&mut self, path: String) {
         self.inbox.insert(path);
     }
@@ -131,11 +178,12 @@
         self.store.looked_ms = now;
         // A little is gathered first; deals that make room usable don't wait.
         let due = self.store.since_ms.is_none_or(|s| now >= s + self.cfg.batch_ms());
-        if !due && !self.store.dirty.iter().any(|k| self.pressing(*k)) {
+        let urgent = std::mem::take(&mut self.store.urgent);
+        if !due && !urgent && !self.store.dirty.iter().any(|k| self.pressing(*k)) {
             return;
         }
         // Acceptances and aborts come first: some of the budget is kept for them.
-        let most = self.cfg.platform.params.state.txn_ops;
+        let most = self.limits().txn_ops;
         let room = (self.store.writes.room(now, 0.25) as usize).min(most);
         if room == 0 {
             return;
@@ -150,7 +198,8 @@
         dirty.sort();
         for (urgency, ix, chunk) in dirty {
             let left = self.store.writes.room(now, urgency.reserve()) as usize;
-            if txn.apply.len() >= room.min(left) || bytes > TXN_BYTES {
+            let enough = self.store.singly > 0 && !items.is_empty();
+            if enough || txn.apply.len() >= room.min(left) || bytes > TXN_BYTES {
                 break;
             }
             let Some(job) = self.jobs.get(ix) else {
@@ -159,7 +208,7 @@
             };
             let ended = matches!(job.state, JobState::Done | JobState::Finishing);
             // A chunk that is wholly done is folded, which says it all.
-            let folds = |c: &Chunk| job.chunk_count() > 1 && c.stamp > 0 && c.whole();
+            let folds = |c: &Chunk| c.stamp > 0 && c.whole() && self.may_fold(job);
             let dirty = |c: &&Chunk| c.dirty && !ended && !folds(c);
             let Some(c) = job.chunks.get(&chunk).filter(dirty) else {
                 self.store.dirty.remove(&(ix, chunk));
@@ -171,27 +220,38 @@
                 || job.busy
                 || job.state == JobState::Recording
                 || job.state == JobState::Unreadable
+                || now < c.put_off_ms
             {
                 continue;
             }
-            let (path, stamp) = (share_key(&job.id, chunk), c.stamp);
-            let Some(record) = self.share_record(ix, chunk) else { continue };
-            let size = json_size(&record);
-            if bytes > 0 && bytes + size > TXN_BYTES {
+            let id = job.id.clone();
+            let Some(share) = self.share_write(ix, chunk) else { continue };
+            if share.oversize || share.changes() > most {
+                tracing::error!(job = %id, chunk, bytes = share.bytes, pieces = share.pieces,
+                    "a share is too large for the state service's limits; it is put off");
+                self.put_off(ix, Some(chunk));
+                continue;
+            }
+            let fits = txn.apply.len() + share.changes() <= most;
+            if !fits || bytes > 0 && bytes + share.bytes > TXN_BYTES {
+                if let Some(c) = self.jobs.get_mut(ix).and_then(|j| j.chunks.get_mut(&chunk)) {
+                    c.pressing = true;
+                }
                 break;
             }
-            bytes += size + 200;
-            txn.guards.push(Guard { path: path.clone(), stamp });
-            txn.apply.push(Change::Set { set: path, value: encode(&record), permit: None });
+            bytes += share.bytes + 200;
+            let pieces = share.pieces;
+            share.enter(&id, chunk, &mut txn.guards, &mut txn.apply);
             if let Some(c) = self.jobs.get_mut(ix).and_then(|j| j.chunks.get_mut(&chunk)) {
                 (c.dirty, c.busy) = (false, true);
             }
             self.store.dirty.remove(&(ix, chunk));
-            items.push(FlushItem::Chunk { job: ix, chunk });
+            items.push(FlushItem::Chunk { job: ix, chunk, pieces });
         }
         let inbox: Vec<String> = self.store.inbox.iter().cloned().collect();
         for path in inbox {
-            if txn.apply.len() >= room {
+            let enough = self.store.singly > 0 && !items.is_empty();
+            if enough || txn.apply.len() >= room {
                 break;
             }
             txn.apply.push(Change::Delete { delete: path.clone() });
@@ -207,6 +267,7 @@
             (!self.store.dirty.is_empty() || !self.store.jobs.is_empty()).then_some(now);
         self.store.writes.force(now, txn.apply.len() as f64);
         self.store.flushing = true;
+        self.store.singly = self.store.singly.saturating_sub(1);
         let pending = Pending::Flush { items, epoch: self.epoch() };
         self.state_call("POST", "/multi".into(), to_cbor(&txn), pending);
     }
@@ -222,7 +283,7 @@
         let Some(c) = j.chunks.get(&chunk) else { return Urgency::Patient };
         let late = self.now.steady_ms >= c.dirty_ms + self.cfg.patience_ms();
         match (c.pressing, self.guest(j)) {
-            (true, false) => Urgency::Pressing(std::cmp::Reverse(j.spec.rank)),
+            (true, false) => Urgency::Pressing(std::cmp::Reverse(j.rank)),
             (true, true) => Urgency::Guest,
             (false, _) if late => Urgency::Late,
             (false, _) => Urgency::Patient,
@@ -237,13 +298,23 @@
         room: usize,
         bytes: &mut usize,
     ) {
-        let candidates: Vec<JobIx> = self.store.jobs.iter().copied().collect();
+        let now = self.now.steady_ms;
+        // What others wait for comes first, ends that follow from others' last.
+        let mut candidates: Vec<JobIx> = self.store.jobs.iter().copied().collect();
+        candidates.sort_by_key(|ix| match self.jobs.get(*ix) {
+            Some(j) if j.state == JobState::Aborted => 2,
+            Some(j) if self.chains.needed(&j.id) => 0,
+            _ => 1,
+        });
         for ix in candidates {
+            if self.store.singly > 0 && !items.is_empty() {
+                return;
+            }
             let Some(job) = self.jobs.get(ix) else {
                 self.store.jobs.remove(&ix);
                 continue;
             };
-            if job.busy || job.chunks.values().any(|c| c.busy) {
+            if job.busy || job.chunks.values().any(|c| c.busy) || now < job.put_off_ms {
                 continue;
             }
             let gone = || job.tasks().all(|(_, t)| !t.state.licensed());
@@ -254,22 +325,37 @@
                     self.gather_fold(ix, txn, items, room);
                     continue;
                 }
-                JobState::Done | JobState::Finishing | JobState::Unreadable => {
+                JobState::Done | JobState::Finishing | JobState::Unreadable | JobState::Waiting => {
                     self.store.jobs.remove(&ix);
                     continue;
                 }
                 _ => continue,
             };
+            if status == RecordedStatus::Aborted && self.store.writes.room(now, 0.5) < 1.0 {
+                continue;
+            }
             // Some shares may have to go in a write of their own, the end first.
             let space = room.saturating_sub(txn.apply.len());
             if space < 2 && !txn.apply.is_empty() {
                 return;
             }
-            let chunks: Vec<u32> =
-                job.chunks.iter().filter(|(_, c)| c.stamp > 0).map(|(n, _)| *n).collect();
-            let chunks: Vec<u32> = chunks.into_iter().take(space.max(2) - 1).collect();
-            let record =
-                JobRecord { status, spec: None, at_ms: job.at_ms, done_chunks: Vec::new() };
+            let stand = job.chunks.iter().filter(|(_, c)| c.stamp > 0);
+            let mut left = space.max(2) - 1;
+            let chunks: Vec<u32> = stand
+                .take_while(|(_, c)| {
+                    let fits = c.pieces as usize <= left;
+                    left = left.saturating_sub(c.pieces as usize);
+                    fits
+                })
+                .map(|(n, _)| *n)
+                .collect();
+            let record = JobRecord {
+                status,
+                spec: None,
+                at_ms: job.at_ms,
+                done_chunks: Vec::new(),
+                service: job.spec.shape == Shape::Service && self.latched(),
+            };
             let key = job_key(&job.id);
             txn.guards.push(Guard { path: key.clone(), stamp: job.stamp });
             txn.apply.push(Change::Set { set: key, value: encode(&record), permit: None });
@@ -290,9 +376,85 @@
     fn gather_shares(&self, ix: JobIx, chunks: &[u32], txn: &mut Transaction) {
         let Some(job) = self.jobs.get(ix) else { return };
         for c in chunks {
-            let path = share_key(&job.id, *c);
-            txn.guards.push(Guard { path: path.clone(), stamp: job.chunks[c].stamp });
-            txn.apply.push(Change::Delete { delete: path });
+            let stands = &job.chunks[c];
+            for path in piece_keys(&job.id, *c, stands.pieces) {
+                txn.guards.push(Guard { path: path.clone(), stamp: stands.stamp });
+                txn.apply.push(Change::Delete { delete: path });
+            }
+        }
+    }
+
+    /// The record of a job some of whose chunks are folded.
+    fn folded_record(&self, job: &Job, chunks: &[u32]) -> JobRecord {
+        JobRecord {
+            status: RecordedStatus::Live,
+            spec: Some(job.spec.clone()),
+            at_ms: job.at_ms,
+            done_chunks: job.done_chunks_with(chunks),
+            service: false,
+        }
+    }
+
+    /// Large jobs are folded, if what is folded still has room in the job's record.
+    fn may_fold(&self, job: &Job) -> bool {
+        job.chunk_count() > 1 && {
+            let whole: Vec<u32> =
+                job.chunks.iter().filter(|(_, c)| c.whole()).map(|(n, _)| *n).collect();
+            whole.is_empty() || checked_size(&self.folded_record(job, &whole)) <= self.value_most()
+        }
+    }
+
+    /// A chunk's record as memory stands now, ready to be written.
+    pub(crate) fn share_write(&mut self, ix: JobIx, chunk: u32) -> Option<ShareWrite> {
+        let record = self.share_record(ix, chunk)?;
+        let most = self.value_most();
+        let c = self.jobs.get(ix)?.chunks.get(&chunk)?;
+        let (old, stamp) = (c.pieces, c.stamp);
+        if !self.latched() {
+            let bytes = json_size(&record);
+            let (values, oversize) = (vec![encode(&record)], bytes > most);
+            return Some(ShareWrite { pieces: 1, old, stamp, values, bytes, oversize });
+        }
+        let pieces = pack_share(&record, chunk, most);
+        let oversize = pieces.iter().any(|p| checked_size(p) > most);
+        let bytes = pieces.iter().map(json_size).sum();
+        let values: Vec<Value> = pieces.iter().map(encode).collect();
+        Some(ShareWrite { pieces: values.len() as u32, old, stamp, values, bytes, oversize })
+    }
+
+    /// What can't be written now is not tried again for a while, so that it stands in the
+    /// way of nothing else. Memory goes on; it may be smaller by then.
+    fn put_off(&mut self, ix: JobIx, chunk: Option<u32>) {
+        let until = self.now.steady_ms + self.cfg.lease_ms();
+        let Some(job) = self.jobs.get_mut(ix) else { return };
+        match chunk.and_then(|c| job.chunks.get_mut(&c)) {
+            Some(c) => c.put_off_ms = until,
+            None => job.put_off_ms = until,
+        }
+    }
+
+    /// The state service refused a write for what is in it: nothing of it was executed.
+    fn refused(&mut self, items: Vec<FlushItem>) {
+        let one = items.len() == 1;
+        tracing::error!(
+            items = items.len(),
+            "the state service refused a write as too large or malformed"
+        );
+        if !one {
+            // Which of them it was shows when each goes by itself.
+            self.store.singly = items.len();
+        }
+        for item in items {
+            if one {
+                match &item {
+                    FlushItem::Chunk { job, chunk, .. } => self.put_off(*job, Some(*chunk)),
+                    FlushItem::End { job, .. } | FlushItem::Fold { job, .. } => {
+                        self.put_off(*job, None)
+                    }
+                    FlushItem::Inbox(_) => continue,
+                }
+            }
+            self.unwritten(item);
         }
     }
 
@@ -305,26 +467,29 @@
         room: usize,
     ) {
         let Some(job) = self.jobs.get(ix) else { return };
-        if job.chunk_count() < 2 || room.saturating_sub(txn.apply.len()) < 2 {
+        if !self.may_fold(job) || room.saturating_sub(txn.apply.len()) < 2 {
             self.store.jobs.remove(&ix);
             return;
         }
         let foldable = |c: &Chunk| !c.busy && c.stamp > 0 && c.whole();
         let whole = job.chunks.iter().filter(|(_, c)| foldable(c)).map(|(n, _)| *n);
         let space = room.saturating_sub(txn.apply.len() + 1);
-        let chunks: Vec<u32> = whole.take(space).collect();
+        let mut left = space;
+        let chunks: Vec<u32> = whole
+            .take_while(|n| {
+                let pieces = job.chunks[n].pieces as usize;
+                let fits = pieces <= left;
+                left = left.saturating_sub(pieces);
+                fits
+            })
+            .collect();
         // The job's record is written once for them all: a few are gathered first.
         let few = chunks.len() < FOLD_LEAST.min(space);
         if chunks.is_empty() || few && job.chunks.len() < OPEN_CHUNKS + FOLD_LEAST {
             self.store.jobs.remove(&ix);
             return;
         }
-        let record = JobRecord {
-            status: RecordedStatus::Live,
-            spec: Some(job.spec.clone()),
-            at_ms: job.at_ms,
-            done_chunks: job.done_chunks_with(&chunks),
-        };
+        let record = self.folded_record(job, &chunks);
         let key = job_key(&job.id);
         txn.guards.push(Guard { path: key.clone(), stamp: job.stamp });
         txn.apply.push(Change::Set { set: key, value: encode(&record), permit: None });
@@ -358,7 +523,14 @@
                 tracing::info!(failed = ?a.failed, "a write met a changed record; reading it");
                 items.into_iter().for_each(|i| self.restamp(i));
             }
+            (400, _) => {
+                self.state_answered();
+                self.refused(items);
+            }
             (503 | 429, _) => {
+                if status == 429 {
+                    tracing::debug!("a write went beyond the state service's rate");
+                }
                 self.state_busy(status);
                 items.into_iter().for_each(|i| self.unwritten(i));
             }
@@ -369,9 +541,10 @@
 
     fn written(&mut self, item: FlushItem, rev: u64) {
         match item {
-            FlushItem::Chunk { job, chunk } => {
+            FlushItem::Chunk { job, chunk, pieces } => {
                 if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
                     (c.busy, c.acked, c.stamp) = (false, c.version, rev);
+                    c.pieces = pieces;
                 }
                 self.touch_probed(job);
                 self.preempt_due = true;
@@ -383,7 +556,7 @@
                 (j.busy, j.stamp) = (false, rev);
                 for c in chunks {
                     if let Some(c) = j.chunks.get_mut(&c) {
-                        c.stamp = 0;
+                        (c.stamp, c.pieces) = (0, 0);
                     }
                 }
                 let more = j.chunks.values().any(|c| c.stamp > 0);
@@ -416,7 +589,7 @@
             .chunks
             .iter()
             .filter(|(_, c)| c.stamp > 0)
-            .map(|(n, _)| share_key(&j.id, *n))
+            .flat_map(|(n, c)| piece_keys(&j.id, *n, c.pieces))
             .collect();
         for p in paths {
             self.store.clear_inbox(p);
@@ -427,7 +600,7 @@
     /// Not executed: memory is still ahead.
     fn unwritten(&mut self, item: FlushItem) {
         match item {
-            FlushItem::Chunk { job, chunk } => {
+            FlushItem::Chunk { job, chunk, .. } => {
                 if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
                     // It may have held what tasks wait for.
                     (c.busy, c.pressing) = (false, true);
@@ -455,10 +628,10 @@
         // Shares that an end or a fold removes are looked at as well.
         if let FlushItem::End { job, chunks } | FlushItem::Fold { job, chunks } = &item {
             for &chunk in chunks {
-                self.restamp(FlushItem::Chunk { job: *job, chunk });
+                self.restamp(FlushItem::Chunk { job: *job, chunk, pieces: 0 });
             }
         }
-        if let FlushItem::Chunk { job, chunk } = &item {
+        if let FlushItem::Chunk { job, chunk, .. } = &item {
             if let Some(c) = self.jobs.get_mut(*job).and_then(|j| j.chunks.get_mut(chunk)) {
                 c.busy = true;
             }
@@ -469,7 +642,7 @@
     /// Asks for the record that an item would write, if its job is still in memory.
     fn read_stamp(&mut self, item: FlushItem) {
         let path = match &item {
-            FlushItem::Chunk { job, chunk } => {
+            FlushItem::Chunk { job, chunk, .. } => {
                 self.jobs.get(*job).map(|j| share_key(&j.id, *chunk))
             }
             FlushItem::End { job, .. } | FlushItem::Fold { job, .. } => {
@@ -496,12 +669,16 @@
             Err(()) => return self.restamp_again(item),
         };
         match item {
-            FlushItem::Chunk { job, chunk } => {
-                if pair.as_ref().is_some_and(|p| decode::<ShareRecord>(&p.value).is_none()) {
-                    return self.unreadable(job);
-                }
+            FlushItem::Chunk { job, chunk, .. } => {
+                // All pieces are written together, so that the first tells of the others.
+                let read = pair.map(|p| read_share(&p.path, &p.value, p.stamp));
+                let (stamp, pieces) = match read {
+                    Some(Some(share)) => (share.stamp, share.of),
+                    Some(None) => return self.unreadable(job),
+                    None => (0, 0),
+                };
                 if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
-                    (c.busy, c.stamp) = (false, pair.map_or(0, |p| p.stamp));
+                    (c.busy, c.stamp, c.pieces) = (false, stamp, pieces);
                     c.pressing = true;
                 }
                 self.mark_dirty(job, chunk);
@@ -579,7 +756,7 @@
         let due: Vec<(JobIx, String)> = self
             .jobs
             .iter()
-            .filter(|(_, j)| j.state == JobState::Live && !j.busy && now > j.read_ms + every)
+            .filter(|(_, j)| j.state.lives() && !j.busy && now > j.read_ms + every)
             .map(|(ix, j)| (ix, j.id.clone()))
             .collect();
         for (ix, job) in due {
@@ -638,14 +815,15 @@
         for task in keys {
             self.task_to(TaskKey { job: ix, task }, TaskState::Dropped);
         }
+        self.unlink(ix);
         self.jobs.remove(ix);
         self.store.jobs.remove(&ix);
     }
 
     /// The in-memory index of records by chunk after a restore.
-    pub(crate) fn load_chunks(&mut self, ix: JobIx, shares: BTreeMap<u32, (ShareRecord, u64)>) {
-        for (chunk, (record, stamp)) in shares {
-            self.load_chunk(ix, chunk, record, stamp);
+    pub(crate) fn load_chunks(&mut self, ix: JobIx, shares: BTreeMap<u32, GatheredShare>) {
+        for (chunk, share) in shares {
+            self.load_chunk(ix, chunk, share);
         }
     }
 }
--- a/crates/quartzgate/src/daemon.rs
+++ b/crates/quartzgate/src/daemon.rs
@@ -695,7 +695,7 @@
             }
         });
         let platform = serde_json::from_value(platform).unwrap();
-        Config { platform, operator: Operator::default() }
+        Config::new(platform, Operator::default())
     }
 
     /// A worker that answers every request on one connection after another.
--- a/crates/quartzgate/src/settings.rs
+++ b/crates/quartzgate/src/settings.rs
@@ -39,5 +39,5 @@
         }
         own.check().map_err(|source| LoadError::Sense { file, source })?;
     }
-    Ok(Config { platform, operator: own })
+    Ok(Config::new(platform, own))
 }
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -100,6 +100,23 @@
         skip_serializing_if = "Option::is_none"
     )]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts, each named once.
+    /// Absent, null and an empty list are the same.
+    #[serde(
+        rename = "prereqs",
+        default,
+        deserialize_with = "named_once",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub dependencies: Vec<String>,
+}
+
+/// A list of names, or null; a name that comes again counts once.
+fn named_once<'de, D: serde::Deserializer<'de>>(d: D) -> Result<Vec<String>, D::Error> {
+    let mut names = Option::<Vec<String>>::deserialize(d)?.unwrap_or_default();
+    let mut seen = std::collections::HashSet::new();
+    names.retain(|n| seen.insert(n.clone()));
+    Ok(names)
 }
 
 /// Largest number of tasks a job may have.
@@ -141,6 +158,9 @@
         if self.types.as_ref().is_some_and(|t| t.len() > 64) {
             return Err("too many host types");
         }
+        if !self.dependencies.iter().all(|d| valid_job_id(d)) {
+            return Err("malformed ref in prereqs");
+        }
         Ok(())
     }
 }
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -95,6 +95,37 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// What the limits will be from some moment after an upgrade, without notice.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits to come; what is left out stays as it is.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct NextLimits {
+    #[serde(default)]
+    pub rps: Option<f64>,
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The lower of the present limits and those to come: what fits these fits at any
+    /// moment.
+    pub fn lowest(&self) -> StateLimits {
+        let next = self.next.unwrap_or_default();
+        StateLimits {
+            rps: self.rps.min(next.rps.unwrap_or(self.rps)),
+            write_rps: self.write_rps.min(next.write_rps.unwrap_or(self.write_rps)),
+            value_kb: self.value_kb.min(next.value_kb.unwrap_or(self.value_kb)),
+            txn_ops: self.txn_ops.min(next.txn_ops.unwrap_or(self.txn_ops)),
+            next: None,
+        }
+    }
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -169,6 +200,23 @@
         if p.state.txn_ops < 4 {
             return bad("facts.state.txn_ops", "must be at least 4");
         }
+        let next = p.state.next.unwrap_or_default();
+        for (field, value) in [
+            ("facts.state.next.rps", next.rps),
+            ("facts.state.next.write_rps", next.write_rps),
+            ("facts.state.next.value_kb", next.value_kb),
+        ] {
+            if !value.is_none_or(|v| v > 0.0 && v < 1e9) {
+                return bad(field, "must be above 0");
+            }
+        }
+        if next.txn_ops.is_some_and(|ops| ops < 4) {
+            return bad("facts.state.next.txn_ops", "must be at least 4");
+        }
+        // The smallest job and its share must find room in a value.
+        if p.state.lowest().value_kb < 1.0 {
+            return bad("facts.state.next.value_kb", "must be at least 1");
+        }
         if p.limits.max_sockets < 32 {
             return bad("facts.resources.max_sockets", "must be at least 32");
         }
