Stories of chains, of the upgrade and of falling limits; 201 tells a cancelled job

Cause found by the seeded story of chains: a job that was accepted behind one long cancelled was called `pending` in its 201. It is now called `aborted` at once where its accepter knows of it, by memory or by reading along the chain.

The fake state service has limits that can fall, refuses single keys, and keeps all that was set; the cluster notes tasks that start before what they need is done, or before that is on record, and jobs called alive too long after one before them was cancelled. A controller with `new_format: false` (an operators' setting, to put off the point of no return) stands for the old version there.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -191,13 +191,13 @@
     fn consider(&mut self, id: RequestId, spec: JobSpec) {
         if let Some(spec) = self.acceptable(id, spec) {
             match spec.dependencies.is_empty() {
-                true => self.submit_admitted(id, spec),
+                true => self.submit_admitted(id, spec, false),
                 false => self.admit(id, spec),
             }
         }
     }
 
-    fn record_alone(&mut self, id: RequestId, spec: JobSpec) {
+    fn record_alone(&mut self, id: RequestId, spec: JobSpec, cancelled: bool) {
         let now = self.now.steady_ms;
         if !self.store.writes.take(now, 2.0, 0.0) {
             return self.answer_busy(id);
@@ -211,7 +211,7 @@
                 Change::Set { set: inbox_key(&job), value: encode(&false), permit: None },
             ],
         });
-        let pending = Pending::AcceptAlone { request: id, id: job };
+        let pending = Pending::AcceptAlone { request: id, id: job, cancelled };
         self.state_call("POST", "/multi".into(), body, pending);
     }
 
@@ -237,13 +237,22 @@
         }
     }
 
-    pub(crate) fn on_accept_alone(&mut self, id: RequestId, job: String, outcome: Outcome) {
+    pub(crate) fn on_accept_alone(
+        &mut self,
+        id: RequestId,
+        job: String,
+        cancelled: bool,
+        outcome: Outcome,
+    ) {
         match outcome {
             Outcome::Answer(r) if r.status == 200 => {
                 self.state_answered();
                 tracing::info!(job = %job, "accepted past the leader");
-                let answer =
-                    JobAnswer { id: job, status: JobStatus::Queued, done: None, running: None };
+                if cancelled {
+                    self.learn_final(&job, RecordedStatus::Aborted);
+                }
+                let status = if cancelled { JobStatus::Aborted } else { JobStatus::Queued };
+                let answer = JobAnswer { id: job, status, done: None, running: None };
                 self.answer(id, Response::new(201, to_cbor(&answer)));
             }
             Outcome::Answer(r) if r.status == 409 => {
@@ -293,9 +302,9 @@
     }
 
     /// Takes a submission all of whose dependencies were accepted.
-    pub(crate) fn submit_admitted(&mut self, id: RequestId, spec: JobSpec) {
+    pub(crate) fn submit_admitted(&mut self, id: RequestId, spec: JobSpec, cancelled: bool) {
         if !self.leads() {
-            return self.record_alone(id, spec);
+            return self.record_alone(id, spec, cancelled);
         }
         let now = self.now.steady_ms;
         if self.submitted_before(id, &spec) {
@@ -360,14 +369,15 @@
                 (c.busy, c.acked, c.stamp) = (false, c.version, done.ledger_rev);
                 c.pieces = pieces;
             }
-            let answer = JobAnswer {
-                id: job.id.clone(),
-                status: JobStatus::Queued,
-                done: None,
-                running: None,
-            };
+            let job_id = job.id.clone();
             self.link(ix);
             self.job_to(ix, JobState::Live);
+            // It may have been accepted behind one that is cancelled.
+            let status = match self.finals.get(&job_id) {
+                Some(RecordedStatus::Aborted) => JobStatus::Aborted,
+                _ => JobStatus::Queued,
+            };
+            let answer = JobAnswer { id: job_id, status, done: None, running: None };
             self.answer(id, Response::new(201, to_cbor(&answer)));
             self.touch_probed(ix);
             self.deal_due = true;
--- a/crates/core/src/chains.rs
+++ b/crates/core/src/chains.rs
@@ -104,11 +104,19 @@
     open: Vec<String>,
     seen: HashSet<String>,
     reading: usize,
-    /// A job before it is not done.
+    /// A job before it is not done; one is cancelled.
     waits: bool,
+    cancelled: bool,
     until_ms: u64,
 }
 
+impl Walk {
+    /// It is for a submission, which names this job itself.
+    fn names(&self, id: &String) -> bool {
+        matches!(&self.purpose, Purpose::Admit(spec) if spec.dependencies.contains(id))
+    }
+}
+
 /// Reads of one walk that are under way at a time.
 const WALK_READS: usize = 6;
 /// Walks at a time.
@@ -394,7 +402,8 @@
         }
         let until_ms = self.now.steady_ms + 3 * self.cfg.state_timeout_ms();
         let seen = open.iter().cloned().collect();
-        let walk = Walk { purpose, open, seen, reading: 0, waits: false, until_ms };
+        let (reading, waits, cancelled) = (0, false, false);
+        let walk = Walk { purpose, open, seen, reading, waits, cancelled, until_ms };
         self.chains.walks.insert(request, walk);
         self.walk_on(request);
     }
@@ -406,12 +415,17 @@
                 return;
             }
             let Some(id) = walk.open.pop() else { break };
-            if let Purpose::Tell(_) = walk.purpose {
-                match self.finals.get(&id) {
-                    Some(RecordedStatus::Done) => continue,
-                    Some(_) => return self.walk_ended_cancelled(request),
-                    None => {}
+            match self.finals.get(&id) {
+                Some(RecordedStatus::Done) => continue,
+                // Whether what a submission names was a service is told by its record.
+                Some(_) if !walk.names(&id) => {
+                    walk.cancelled = true;
+                    if let Purpose::Tell(_) = walk.purpose {
+                        return self.walk_ended_cancelled(request);
+                    }
+                    continue;
                 }
+                _ => {}
             }
             walk.reading += 1;
             if !self.may_read() {
@@ -432,7 +446,7 @@
                 }
                 self.answer(request, Response::new(200, to_cbor(&answer)))
             }
-            Purpose::Admit(spec) => self.submit_admitted(request, *spec),
+            Purpose::Admit(spec) => self.submit_admitted(request, *spec, walk.cancelled),
         }
     }
 
@@ -451,7 +465,7 @@
         let read = self.read_outcome(outcome);
         let Some(walk) = self.chains.walks.get_mut(&request) else { return };
         walk.reading -= 1;
-        let admits = matches!(walk.purpose, Purpose::Admit(_));
+        let admits = walk.names(&id);
         let Ok(found) = read else {
             self.chains.walks.remove(&request);
             return self.answer_busy(request);
@@ -459,7 +473,7 @@
         let Some(pair) = found else {
             let walk = self.chains.walks.remove(&request);
             return match walk.map(|w| w.purpose) {
-                Some(Purpose::Admit(spec)) => {
+                Some(Purpose::Admit(spec)) if admits => {
                     self.refuse(request, *spec, 422, "a job in prereqs was never accepted")
                 }
                 _ => {
@@ -481,19 +495,15 @@
             return;
         }
         match record.status {
-            RecordedStatus::Live if !admits => {
-                let named = record.spec.map(|s| s.dependencies).unwrap_or_default();
-                if let Some(walk) = self.chains.walks.get_mut(&request) {
-                    walk.waits = true;
-                    for dep in named {
-                        if walk.seen.insert(dep.clone()) {
-                            walk.open.push(dep);
-                        }
+            RecordedStatus::Live => {
+                let named = record.spec.as_ref().map(|s| s.dependencies.clone());
+                walk.waits = true;
+                for dep in named.unwrap_or_default() {
+                    if walk.seen.insert(dep.clone()) {
+                        walk.open.push(dep);
                     }
                 }
-            }
-            RecordedStatus::Live => {
-                if self.leads() {
+                if admits && self.leads() {
                     self.adopt(&id, record, pair.stamp);
                 }
             }
@@ -503,8 +513,11 @@
                 if self.leads() {
                     self.learn_abort(&id, pair.stamp);
                 }
-                if !admits {
-                    return self.walk_ended_cancelled(request);
+                if let Some(walk) = self.chains.walks.get_mut(&request) {
+                    walk.cancelled = true;
+                    if let Purpose::Tell(_) = walk.purpose {
+                        return self.walk_ended_cancelled(request);
+                    }
                 }
             }
         }
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -24,6 +24,9 @@
     /// Ordinary room kept free for production starts, as a share of what
     /// production uses.
     pub warm_share: f64,
+    /// Whether this controller agrees to the newest format of the records. Once all do,
+    /// the version before can't be put back.
+    pub new_format: bool,
 }
 
 impl Default for Operator {
@@ -36,6 +39,7 @@
             slack_cap: 5,
             idle_ratio: 0.5,
             warm_share: 0.1,
+            new_format: true,
         }
     }
 }
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -49,7 +49,7 @@
     Flush { items: Vec<FlushItem>, epoch: u64 },
     Restamp { item: FlushItem, epoch: u64 },
     Accept { request: RequestId, job: JobIx, pieces: u32, epoch: u64 },
-    AcceptAlone { request: RequestId, id: String },
+    AcceptAlone { request: RequestId, id: String, cancelled: bool },
     AbortWrite { request: RequestId, job: JobIx, epoch: u64 },
     AbortRead { request: RequestId, id: String },
     AbortAlone { request: RequestId, id: String },
@@ -317,7 +317,9 @@
             Pending::ControlRead { sent_ms } => self.on_control_read(sent_ms, outcome),
             Pending::ControlWatch { sent_ms } => self.on_control_watch(sent_ms, outcome),
             Pending::Elect { epoch } => self.on_elect(epoch, outcome),
-            Pending::AcceptAlone { request, id } => self.on_accept_alone(request, id, outcome),
+            Pending::AcceptAlone { request, id, cancelled } => {
+                self.on_accept_alone(request, id, cancelled, outcome)
+            }
             Pending::AbortRead { request, id } => self.on_abort_read(request, id, outcome),
             Pending::AbortAlone { request, id } => self.on_abort_alone(request, id, outcome),
             Pending::Known { request, spec, refusal } => {
--- a/crates/core/src/format.rs
+++ b/crates/core/src/format.rs
@@ -145,7 +145,7 @@
     fn leave_key(&mut self) {
         let node = self.cfg.platform.node.clone();
         let stands = self.format.nodes.get(&node).is_some_and(|v| *v >= FORMAT_VERSION);
-        if stands || self.foreign_format() {
+        if stands || self.foreign_format() || !self.cfg.operator.new_format {
             return;
         }
         let now = self.now.steady_ms;
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories/main.rs
@@ -1,6 +1,8 @@
 //! Stories of things that go wrong, told against an in-memory cluster that knows
 //! the rules. Each says what it guards.
 
+mod chains;
+mod upgrade;
 mod world;
 
 use quartzgate_wire::msg::{JobStatus, ReportTask, Shape, TaskStatus};
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/stories/world.rs
@@ -92,6 +92,17 @@
     pub no_inbox: bool,
     pub writes: u64,
     pub requests: u64,
+    /// Largest value (bytes of JSON), most changes a transaction, changes a second.
+    pub limits: Option<(usize, usize, f64)>,
+    /// Writes that were refused for their size, and for their rate.
+    pub too_large: u64,
+    pub too_many: u64,
+    /// Sets of keys that hold this are refused as malformed.
+    pub poison: Option<String>,
+    tokens: f64,
+    tokens_at: u64,
+    /// Every value that was set, in order, for those who want to look at them all.
+    pub journal: Vec<(String, ciborium::value::Value)>,
 }
 
 #[derive(Clone, Debug)]
@@ -145,8 +156,8 @@
     pub method: &'static str,
     pub path: String,
     pub body: Vec<u8>,
-    /// The user had been told of the job before asking.
-    told: bool,
+    /// What the user had been told of the job before asking.
+    told: Option<JobStatus>,
     sent_ms: u64,
     pub answer: Option<Response>,
 }
@@ -170,6 +181,8 @@
     pub run_ms: BTreeMap<String, u64>,
     pub done: BTreeMap<String, BTreeSet<u32>>,
     pub aborted_at: BTreeMap<String, u64>,
+    /// Jobs that their users wanted to cancel, whatever came of it.
+    abort_asked: BTreeSet<String>,
     pub told: BTreeMap<String, JobStatus>,
     pub breaches: Vec<String>,
     pub starts: BTreeMap<String, Vec<(String, u64)>>,
@@ -185,6 +198,10 @@
     pub returns_off: bool,
     pub hires: BTreeMap<String, Vec<String>>,
     limit_cpus: f64,
+    /// Limits of the state service that the settings announce.
+    pub next: Option<serde_json::Value>,
+    /// Controllers that don't agree to the newest format, as the version before.
+    pub old: BTreeSet<usize>,
     pub seed: u64,
 }
 
@@ -246,6 +263,12 @@
     }
 }
 
+/// The same job, needing others.
+pub fn behind(mut spec: JobSpec, needs: &[&str]) -> JobSpec {
+    spec.dependencies = needs.iter().map(|n| n.to_string()).collect();
+    spec
+}
+
 impl World {
     /// `nodes` controllers and `workers` machines of 8 CPUs, alternating zones.
     pub fn new(nodes: usize, workers: usize, limit_cpus: f64, seed: u64) -> World {
@@ -267,6 +290,7 @@
             run_ms: BTreeMap::new(),
             done: BTreeMap::new(),
             aborted_at: BTreeMap::new(),
+            abort_asked: BTreeSet::new(),
             told: BTreeMap::new(),
             breaches: Vec::new(),
             starts: BTreeMap::new(),
@@ -279,6 +303,8 @@
             returns_off: false,
             hires: BTreeMap::new(),
             limit_cpus,
+            next: None,
+            old: BTreeSet::new(),
             seed,
         };
         for n in 0..nodes {
@@ -335,8 +361,12 @@
     // Faults.
 
     pub fn start(&mut self, n: usize) {
-        let platform = platform(n, self.lives.len(), self.limit_cpus);
-        let config = Config::new(platform, Operator::default());
+        let mut platform = platform(n, self.lives.len(), self.limit_cpus);
+        let next = self.next.clone().map(|n| serde_json::from_value(n).unwrap());
+        platform.params.state.next = next;
+        platform.check().unwrap();
+        let operator = Operator { new_format: !self.old.contains(&n), ..Operator::default() };
+        let config = Config::new(platform, operator);
         self.lives[n] += 1;
         let life = self.lives[n];
         let rng = SmallRng::seed_from_u64(self.seed * 100 + n as u64 * 10 + u64::from(life));
@@ -410,7 +440,11 @@
     pub fn ask(&mut self, node: usize, method: &'static str, path: &str, body: Vec<u8>) -> usize {
         let ask = self.asks.len();
         let mut parts = path.split('/');
-        let told = parts.nth(3).is_some_and(|id| self.told.contains_key(id));
+        let told = match path {
+            "/api/jobs" => from_cbor::<JobSpec>(&body).ok().map(|s| s.id),
+            _ => parts.nth(3).map(String::from),
+        };
+        let told = told.and_then(|id| self.told.get(&id).copied());
         self.asks.push(Ask {
             method,
             path: path.into(),
@@ -428,7 +462,33 @@
         self.ask(node, "POST", "/api/jobs", to_cbor(spec))
     }
 
+    /// Jobs that a job needs, directly or through others.
+    pub fn before(&self, id: &str) -> Vec<String> {
+        let (mut out, mut open) = (Vec::new(), vec![id.to_string()]);
+        while let Some(at) = open.pop() {
+            for dep in self.jobs.get(&at).into_iter().flat_map(|j| &j.dependencies) {
+                if !out.contains(dep) {
+                    out.push(dep.clone());
+                    open.push(dep.clone());
+                }
+            }
+        }
+        out
+    }
+
+    /// How a job stands on record.
+    pub fn recorded(&self, id: &str) -> Option<quartzgate_core::records::RecordedStatus> {
+        let (value, _, _) = self.state.keys.get(&format!("jobs/{id}"))?;
+        value.deserialized::<quartzgate_core::records::JobRecord>().ok().map(|r| r.status)
+    }
+
+    /// The latch stands.
+    pub fn latched(&self) -> bool {
+        self.state.keys.contains_key("format")
+    }
+
     pub fn abort(&mut self, node: usize, id: &str) -> usize {
+        self.abort_asked.insert(id.to_string());
         self.ask(node, "POST", &format!("/api/jobs/{id}/abort"), Vec::new())
     }
 
@@ -761,7 +821,7 @@
             self.breaches.push("a 503 without Retry-After".into());
         }
         let known = self.told.get(&id).copied();
-        let ask_aborts = self.asks[ask].path.ends_with("/abort");
+        let asks_after = self.asks[ask].path != "/api/jobs";
         match response.status {
             200 | 201 => {
                 if let Ok(a) = from_cbor::<JobAnswer>(&response.body) {
@@ -771,9 +831,9 @@
                     let ended = |s: Option<JobStatus>| {
                         matches!(s, Some(JobStatus::Done | JobStatus::Aborted))
                     };
-                    if ended(known) && known != Some(a.status) {
-                        self.breaches
-                            .push(format!("went_back {id}: {known:?} then {:?}", a.status));
+                    let told = self.asks[ask].told;
+                    if ended(told) && told != Some(a.status) {
+                        self.breaches.push(format!("went_back {id}: {told:?} then {:?}", a.status));
                     }
                     if a.status == JobStatus::Done {
                         let all = self.jobs.get(&id).map_or(0, |j| j.tasks as usize);
@@ -781,17 +841,35 @@
                             self.breaches.push(format!("not_done {id}"));
                         }
                     }
+                    let cut_off = self
+                        .before(&id)
+                        .into_iter()
+                        .filter_map(|p| self.aborted_at.get(&p).copied());
+                    let first = cut_off.min();
+                    let lives = matches!(a.status, JobStatus::Queued | JobStatus::Running);
+                    if lives && first.is_some_and(|at| self.now > at + CANCEL_MS) {
+                        self.breaches.push(format!("orphaned {id}: {:?}", a.status));
+                    }
+                    let asked = self.abort_asked.contains(&id);
+                    let behind = self.before(&id).iter().any(|p| self.abort_asked.contains(p));
+                    if a.status == JobStatus::Aborted && !asked && !behind {
+                        self.breaches.push(format!("went_back {id}: nobody cancelled it"));
+                    }
                     if a.status == JobStatus::Aborted {
                         let now = self.now;
                         self.aborted_at.entry(id.clone()).or_insert(now);
                     }
+                    let (one, other) = (known, Some(a.status));
+                    if ended(one) && ended(other) && one != other {
+                        self.breaches.push(format!("went_back {id}: {one:?} and {other:?}"));
+                    }
                     if !ended(known) {
                         self.told.insert(id, a.status);
                     }
                 }
             }
-            // An abort sent along with the submission may be decided before it.
-            404 if known.is_some() && !self.asks[ask].told && ask_aborts => {}
+            // What is sent along with the submission may be decided before it.
+            404 if known.is_some() && self.asks[ask].told.is_none() && asks_after => {}
             404 | 400 | 422 if known.is_some() => {
                 self.breaches.push(format!("forgotten {id}: {}", response.status))
             }
@@ -926,6 +1004,9 @@
             let body = to_cbor(&TransactionAnswer { ledger_rev: self.state.rev, failed });
             return Response::new(409, body);
         }
+        if let Some(refusal) = self.beyond_limits(&txn) {
+            return Response::new(refusal, Vec::new());
+        }
         let lost = txn.apply.iter().any(|c| {
             matches!(c, Change::Set { permit: Some(p), .. } if !self.state.leases.contains_key(p))
         });
@@ -938,6 +1019,9 @@
         }
         let stamp = self.state.rev;
         for change in txn.apply {
+            if let Change::Set { set, value, .. } = &change {
+                self.state.journal.push((set.clone(), value.clone()));
+            }
             self.state.writes += 1;
             let event = match change {
                 Change::Set { set, value, permit } => {
@@ -955,14 +1039,43 @@
         Response::new(200, body)
     }
 
+    /// What the state service's limits say of a transaction whose conditions hold.
+    fn beyond_limits(&mut self, txn: &Transaction) -> Option<u16> {
+        let set = |c: &Change| match c {
+            Change::Set { set, value, .. } => Some((set.clone(), value.clone())),
+            Change::Delete { .. } => None,
+        };
+        let sets: Vec<_> = txn.apply.iter().filter_map(set).collect();
+        let poisoned = self.state.poison.as_ref();
+        let bad = |key: &String| poisoned.is_some_and(|p| key.contains(p));
+        let (most, ops, rate) = self.state.limits.unwrap_or((usize::MAX, usize::MAX, 0.0));
+        let size = |v| serde_json::to_string(v).unwrap().len();
+        let large = sets.iter().any(|(k, v)| bad(k) || size(v) > most);
+        if large || txn.apply.len() > ops || txn.guards.len() > ops.saturating_mul(4) {
+            self.state.too_large += 1;
+            return Some(400);
+        }
+        if rate > 0.0 {
+            let passed = (self.now - self.state.tokens_at) as f64 / 1e3;
+            self.state.tokens = (self.state.tokens + passed * rate).min(rate);
+            self.state.tokens_at = self.now;
+            if self.state.tokens < txn.apply.len() as f64 {
+                self.state.too_many += 1;
+                return Some(429);
+            }
+            self.state.tokens -= txn.apply.len() as f64;
+        }
+        None
+    }
+
     /// No share is ever written by an owner of an earlier view.
     fn check_epochs(&mut self, txn: &Transaction) {
-        use quartzgate_core::records::{ShareRecord, View, SHARES, VIEW};
+        use quartzgate_core::records::{read_share, View, SHARES, VIEW};
         let view = self.state.keys.get(VIEW).and_then(|(v, _, _)| v.deserialized::<View>().ok());
         let epoch = view.map_or(0, |v| v.epoch);
         for change in &txn.apply {
             let Change::Set { set, value, .. } = change else { continue };
-            let share = value.deserialized::<ShareRecord>().ok();
+            let share = read_share(set, value, 1).map(|s| s.record);
             if set.starts_with(SHARES) && share.is_some_and(|s| s.epoch < epoch) {
                 self.breaches.push(format!("{set} written by an owner of an earlier epoch"));
             }
@@ -1246,6 +1359,16 @@
             .filter_map(|(t, _)| self.jobs.get(t.rsplit_once('/').unwrap().0))
             .map(|s| s.cpus)
             .sum();
+        for dep in &spec.dependencies {
+            let all = self.jobs.get(dep).map_or(0, |j| j.tasks as usize);
+            if self.done.get(dep).map_or(0, |d| d.len()) < all {
+                self.breaches.push(format!("too_early {task}: {dep} is not done at {now}"));
+            }
+            use quartzgate_core::records::RecordedStatus;
+            if self.recorded(dep) != Some(RecordedStatus::Done) {
+                self.breaches.push(format!("{task} starts before {dep}'s end is on record"));
+            }
+        }
         if self.limit_cpus > 0.0 && used + spec.cpus > self.limit_cpus + 1e-6 {
             self.breaches.push(format!("quota: {} CPUs at {now}", used + spec.cpus));
         }
