--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -478,7 +478,8 @@
             JobState::Done => {
                 let age_ms = self.now.wall_ms.saturating_sub(job.at_ms);
                 let (class, tasks, due_s) = (&job.spec.class, job.spec.tasks, job.spec.deadline_s);
-                tracing::debug!(job = %job.id, %class, tasks, age_ms, due_s, "done");
+                let ready_ms = self.now.wall_ms.saturating_sub(job.ready_ms);
+                tracing::debug!(job = %job.id, %class, tasks, age_ms, ready_ms, due_s, needs = ?job.spec.dependencies, "done");
                 self.remember_final(ix, RecordedStatus::Done);
             }
             JobState::Live if old == JobState::Doubtful => self.touch_all(),
