--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -114,6 +114,8 @@
     }
 }
 
+/// Share of a second's writes that what only tidies up leaves to all else.
+const UNHURRIED: f64 = 0.6;
 /// Chunks that are folded in one write, if there are so many.
 const FOLD_LEAST: usize = 4;
 /// The state service takes transactions up to this size.
@@ -251,7 +253,8 @@
         let inbox: Vec<String> = self.store.inbox.iter().cloned().collect();
         for path in inbox {
             let enough = self.store.singly > 0 && !items.is_empty();
-            if enough || txn.apply.len() >= room {
+            let left = self.store.writes.room(now, UNHURRIED) as usize;
+            if enough || txn.apply.len() >= room.min(left) {
                 break;
             }
             txn.apply.push(Change::Delete { delete: path.clone() });
@@ -336,11 +339,14 @@
             }
             // Some shares may have to go in a write of their own, the end first.
             let space = room.saturating_sub(txn.apply.len());
-            if space < 2 && !txn.apply.is_empty() {
+            // Shares of a job that has ended only take up room: while writes are short they
+            // go later, in writes of their own.
+            let calm = self.store.writes.room(now, UNHURRIED) >= 2.0;
+            if space < 1 + usize::from(calm) && !txn.apply.is_empty() {
                 return;
             }
             let stand = job.chunks.iter().filter(|(_, c)| c.stamp > 0);
-            let mut left = space.max(2) - 1;
+            let mut left = if calm { space.max(2) - 1 } else { 0 };
             let chunks: Vec<u32> = stand
                 .take_while(|(_, c)| {
                     let fits = c.pieces as usize <= left;
