--- a/crates/core/src/chains.rs
+++ b/crates/core/src/chains.rs
@@ -24,6 +24,16 @@
 use crate::{Outcome, RequestId};
 
 impl Job {
+    /// The priority with which it makes others stop: that of a job that needs it only
+    /// once that one's deadline is in danger. Until then it goes first where room comes
+    /// free, and nothing is lost for it.
+    pub fn force(&self) -> Rank {
+        match self.pressed {
+            true => self.rank,
+            false => self.spec.rank,
+        }
+    }
+
     /// The deadline that its own user set.
     pub fn own_due(&self) -> Option<Due> {
         let (class, at_ms) = (self.spec.class.clone(), self.at_ms);
@@ -293,7 +303,7 @@
 
     /// How long a job takes from when it is ready, as far as can be known: its tasks at
     /// once, an image to fetch, a report to hear of its end and a write to record it.
-    fn stage_s(&self, job: &Job) -> f64 {
+    pub(crate) fn stage_s(&self, job: &Job) -> f64 {
         let kinds = self.types.iter().map(|t| self.fetch_s(&job.spec, &t.name));
         let fetch_s = kinds.fold(0.0, f64::max);
         let heard_s = (self.cfg.report_ms() + 2 * self.cfg.batch_ms()) as f64 / 1000.0;
@@ -374,6 +384,13 @@
         }
     }
 
+    /// Whether a job must start now for what it works towards to be in time.
+    pub(crate) fn pressed(&self, job: &Job) -> bool {
+        let in_time =
+            |d: &Due| self.now.wall_ms as f64 + self.stage_s(job) * 1000.0 < d.latest_ms();
+        job.rank > job.spec.rank && !job.due.as_ref().is_none_or(in_time)
+    }
+
     // Walks.
 
     /// Tells how a job with a live record stands: cancelled if a job before it is.
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -166,12 +166,12 @@
                 let image = m.images.contains_key(&job.spec.image);
                 let fetch_s = self.fetch_s(&job.spec, &m.kind);
                 let mut yields = free;
-                if job.rank == Rank::Normal {
+                if job.force() == Rank::Normal {
                     yields.add(&m.low, 1.0);
                 }
-                for k in m.tasks.keys().filter(|_| job.rank >= Rank::High) {
+                for k in m.tasks.keys().filter(|_| job.force() >= Rank::High) {
                     let Some(j) = self.jobs.get(k.job) else { continue };
-                    if j.rank < job.rank && j.spec.shape != Shape::Gang {
+                    if j.rank < job.force() && j.spec.shape != Shape::Gang {
                         yields.add(&j.room(), 1.0);
                     }
                 }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -111,8 +111,9 @@
         for ix in self.jobs.indexes() {
             let Some(job) = self.jobs.get(ix) else { continue };
             let (ratio, lost) = (self.ratio_of(&job.spec), self.lost_deadlines(job));
+            let pressed = self.pressed(job);
             if let Some(j) = self.jobs.get_mut(ix) {
-                (j.ratio, j.lost) = (ratio, lost);
+                (j.ratio, j.lost, j.pressed) = (ratio, lost, pressed);
             }
         }
         for ix in self.machines.indexes() {
@@ -328,14 +329,14 @@
         for (ix, job) in self.jobs.iter() {
             let gang = job.spec.shape == Shape::Gang;
             let idle = job.waiting == 0 || job.mistaken();
-            if job.state != JobState::Live || idle || job.rank <= lowest || gang {
+            if job.state != JobState::Live || idle || job.force() <= lowest || gang {
                 continue;
             }
             for (n, t) in job.tasks() {
                 let key = TaskKey { job: ix, task: n };
                 let may = t.probes.iter().any(|p| self.startable(job, key, t, p.machine));
                 if may {
-                    asking.push((job.rank, t.arrived, key));
+                    asking.push((job.force(), t.arrived, key));
                 }
             }
         }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -142,6 +142,8 @@
     /// Priority and deadline that it counts as having; see `chains.rs`.
     pub rank: Rank,
     pub due: Option<Due>,
+    /// What it works towards is in danger unless it starts now, looked at each round.
+    pub pressed: bool,
     pub chunks: BTreeMap<u32, Chunk>,
     pub done_chunks: Vec<(u32, u32)>,
     /// A write or a read of the job's own record is under way.
@@ -320,6 +322,7 @@
             waits_on: BTreeSet::new(),
             rank,
             due: None,
+            pressed: false,
             chunks: BTreeMap::new(),
             done_chunks: Vec::new(),
             busy: false,
