--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -58,7 +58,7 @@
     /// Share of a second's writes that is left to what is more pressing.
     fn reserve(self) -> f64 {
         match self {
-            Urgency::Pressing(_) => 0.25,
+            Urgency::Pressing(_) => 0.4,
             Urgency::Guest | Urgency::Late => 0.5,
             Urgency::Patient => 0.75,
         }
@@ -186,7 +186,7 @@
         }
         // Acceptances and aborts come first: some of the budget is kept for them.
         let most = self.limits().txn_ops;
-        let room = (self.store.writes.room(now, 0.25) as usize).min(most);
+        let room = (self.store.writes.room(now, 0.4) as usize).min(most);
         if room == 0 {
             return;
         }
