--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -14,6 +14,7 @@
 use crate::controller::{Controller, Pending, UserWork};
 use crate::ids::JobIx;
 use crate::jobs::JobState;
+use crate::latency::Span;
 use crate::polls::live_answer;
 use crate::records::{
     checked_size, decode, encode, inbox_key, job_key, JobRecord, RecordedStatus, INBOX,
@@ -79,6 +80,12 @@
             (_, _, [_] | [_, "abort"]) => return self.answer_error(id, 405, "method not allowed"),
             _ => return self.answer_error(id, 404, "no such path"),
         };
+        let span = match &work {
+            UserWork::Submit(..) => Span::Submit,
+            UserWork::Poll(_) => Span::Poll,
+            UserWork::Abort(_) => Span::Abort,
+        };
+        self.latencies.begin(id, span, self.now.steady_ms);
         if let Some(status) = self.finals.get(work.id()) {
             return self.answer_final(id, work.id(), status);
         }
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -16,6 +16,7 @@
 use crate::ids::{JobIx, MachineIx, TaskKey};
 use crate::jobs::Jobs;
 use crate::keeper::Keeper;
+use crate::latency::{Latencies, Span};
 use crate::machines::{Machines, Room};
 use crate::member::{Member, Role};
 use crate::pause::Pause;
@@ -46,7 +47,7 @@
     Restore { epoch: u64 },
     Orders { machine: MachineIx, token: u64, starts: Vec<(TaskKey, u64)> },
     Inspect { machine: MachineIx, epoch: u64 },
-    Flush { items: Vec<FlushItem>, epoch: u64 },
+    Flush { items: Vec<FlushItem>, sent_ms: u64, epoch: u64 },
     Restamp { item: FlushItem, epoch: u64 },
     Accept { request: RequestId, job: JobIx, pieces: u32, epoch: u64 },
     AcceptAlone { request: RequestId, id: String, cancelled: bool },
@@ -126,6 +127,7 @@
     pub(crate) finals: Finals,
     pub(crate) chains: Chains,
     pub(crate) format: Format,
+    pub(crate) latencies: Latencies,
     pub(crate) keeper: Keeper,
     pub(crate) polls: Polls,
     pub(crate) post: PostBox,
@@ -180,6 +182,7 @@
             finals: Finals::default(),
             chains: Chains::default(),
             format: Format::default(),
+            latencies: Latencies::new(),
             keeper: Keeper::new(),
             polls: Polls::default(),
             post: PostBox::default(),
@@ -375,7 +378,10 @@
                 }
             }
             Pending::Inspect { machine, .. } => self.on_inspect(machine, outcome),
-            Pending::Flush { items, .. } => self.on_flush(items, outcome),
+            Pending::Flush { items, sent_ms, .. } => {
+                self.latencies.note(Span::Write, self.now.steady_ms.saturating_sub(sent_ms));
+                self.on_flush(items, outcome)
+            }
             Pending::Restamp { item, .. } => self.on_restamp(item, outcome),
             Pending::Adopt { job, .. } => self.on_adopt(job, outcome),
             Pending::List { since } => self.on_list(since, outcome),
@@ -402,6 +408,7 @@
     }
 
     pub(crate) fn answer(&mut self, id: RequestId, response: Response) {
+        self.latencies.end(id, self.now.steady_ms);
         self.out.push(Action::Answer { id, response });
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 mod ids;
 mod jobs;
 mod keeper;
+mod latency;
 mod machines;
 mod member;
 mod metrics;
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -583,6 +583,7 @@
             TaskState::Starting { machine, attempt } if machine == ix && attempt == r.attempt => {
                 let state = TaskState::On { machine, attempt, status: r.status, since_ms: now };
                 self.task_to(key, state);
+                self.note_start(key);
             }
             TaskState::On { machine, attempt, status, since_ms }
                 if machine == ix && attempt == r.attempt =>
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -70,6 +70,7 @@
         for (constraint, ratio) in self.ratios.named() {
             put(&format!("ratio.{constraint}"), ratio);
         }
+        all.extend(self.latency_figures());
         all
     }
 
@@ -78,7 +79,10 @@
         if tracing::enabled!(tracing::Level::DEBUG) {
             let figures = self.figures();
             let shown = figures.iter().filter(|(name, value)| {
-                **value != 0.0 && !name.starts_with("ratio.") && *name != "leads"
+                **value != 0.0
+                    && !name.starts_with("ratio.")
+                    && !name.starts_with("latency")
+                    && *name != "leads"
             });
             let line: Vec<String> = shown.map(|(n, v)| format!("{n}={v:.1}")).collect();
             tracing::debug!("pulse {}", line.join(" "));
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -239,7 +239,7 @@
         self.store.writes.force(now, txn.apply.len() as f64);
         self.store.flushing = true;
         self.store.singly = self.store.singly.saturating_sub(1);
-        let pending = Pending::Flush { items, epoch: self.epoch() };
+        let pending = Pending::Flush { items, sent_ms: now, epoch: self.epoch() };
         self.state_call("POST", "/multi".into(), to_cbor(&txn), pending);
     }
 
--- a/crates/core/tests/stories/chains.rs
+++ b/crates/core/tests/stories/chains.rs
@@ -39,6 +39,12 @@
     w.run(300);
     assert_eq!(w.told.get("wk-000004"), Some(&JobStatus::Queued));
     w.until_done("wk-000004", 60_000);
+    // Operators see how long things took: each stage began soon after the one before it.
+    let leader = w.leader().unwrap();
+    let seen = w.figures(leader);
+    assert!(seen["latency_ms.chain_start.count"] >= 3.0);
+    assert!(seen["latency_ms.chain_start.p50"] < 1_000.0);
+    assert!(seen["latency_ms.write.p50"] <= seen["latency_ms.write.max"]);
     w.keep_rules();
 }
 
--- a/crates/core/tests/stories/upgrade.rs
+++ b/crates/core/tests/stories/upgrade.rs
@@ -301,6 +301,7 @@
             }
             if !w.old.is_empty() {
                 assert!(!w.latched());
+                assert_eq!(w.figures(n)["format_latched"], 0.0);
                 let ask = w.ask(n, "POST", "/api/jobs", to_cbor(&chained));
                 w.run(300);
                 assert_eq!(w.status(ask), 503);
@@ -338,6 +339,10 @@
         w.run(CANCEL_MS);
         assert_eq!((w.on("wk-000002").len(), w.on("wk-000004").len()), (5, 0));
         w.keep_rules();
+        // Operators see it, node by node.
+        let leader = w.leader().unwrap();
+        let seen = w.figures(leader);
+        assert_eq!((seen["format_latched"], seen["format_node.n0"]), (1.0, 2.0));
     }
 }
 
--- a/crates/core/tests/stories/world.rs
+++ b/crates/core/tests/stories/world.rs
@@ -1443,6 +1443,20 @@
         orders.map(|o| o.token).collect()
     }
 
+    /// A node's figures, as operators see them.
+    pub fn figures(&mut self, node: usize) -> BTreeMap<String, f64> {
+        let now = Now { steady_ms: self.now, wall_ms: 1_000_000 + self.now };
+        let (method, target) = ("GET".into(), "/metrics".into());
+        let request = Request { method, target, body: Vec::new(), close: false };
+        let core = &mut self.nodes[node].as_mut().unwrap().core;
+        let actions = core.handle(now, Event::Mesh { id: u64::MAX, request });
+        let told = actions.into_iter().find_map(|a| match a {
+            Action::Answer { response, .. } => from_cbor(&response.body).ok(),
+            Action::Call(_) => None,
+        });
+        told.expect("figures")
+    }
+
     /// What a node that has stood still does at once when the next thing that it sees is
     /// a worker's report: answers by their status, calls by their target.
     pub fn wake_to_report(&mut self, node: usize, slept_ms: u64, worker: &str) -> Vec<String> {
