A leader that is still reading stops and clears nothing; stories of damaged and paged shares

Cause, found by the story of pieces on several pages, also with one page: after a takeover a machine could report between the reading of the jobs and that of the shares. Its job was known, its task was not, and so the task was told to stop and began anew, or a result was cleared that was not on record.

--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -629,9 +629,13 @@
 
     fn may_forget(&self, ix: MachineIx, r: &ReportTask) -> bool {
         let Some((id, n)) = parse_task(&r.task) else { return true };
+        // While the records are being read, its share may not have come yet.
+        if !self.knows_all_jobs() {
+            return false;
+        }
         // A job that is not in memory is over: its end is on record.
         let Some(job) = self.jobs.find(id).and_then(|j| self.jobs.get(j)) else {
-            return self.knows_all_jobs();
+            return true;
         };
         let Some(chunk) = job.chunks.get(&(n / crate::records::CHUNK)) else { return true };
         let Some(task) = job.task(n) else { return true };
@@ -657,6 +661,10 @@
         if job.state == JobState::Unreadable || job.state == JobState::Doubtful {
             return None;
         }
+        // While the records are being read, its share may not have come yet.
+        if !self.knows_all_jobs() && job.state != JobState::Aborted {
+            return None;
+        }
         let Some(task) = job.task(n) else { return Some(0.0) };
         match task.state {
             _ if job.state == JobState::Aborted => Some(0.0),
--- a/crates/core/tests/stories/upgrade.rs
+++ b/crates/core/tests/stories/upgrade.rs
@@ -465,3 +465,70 @@
     assert_eq!(w.state.too_large, 0, "too large for the limits to come");
     w.keep_rules();
 }
+
+/// A latched cluster with a job of 64 tasks whose share takes more than one piece.
+fn world_in_pieces(seed: u64) -> World {
+    let mut w = World::new(3, 80, 0.0, seed);
+    w.next = Some(serde_json::json!({"value_kb": 1.0, "txn_ops": 8}));
+    (0..3).for_each(|n| {
+        w.kill(n);
+        w.start(n)
+    });
+    w.until(10_000, "the format is latched", World::latched);
+    w.run(1_500);
+    w.run_ms.insert("wk-000001".into(), 25_000);
+    w.submit_surely(&job("wk-000001", Shape::Array, 64));
+    let one = w.submit(w.leader().unwrap(), &job("wk-000002", Shape::Array, 64));
+    w.until(2_000, "accepted", |w| w.status(one) == 201);
+    w.until(5_000, "in pieces", |w| w.state.keys.contains_key("shares/wk-000001/0/0.1"));
+    w
+}
+
+/// Guards shares that come in pieces over several pages of a list: a new owner knows all
+/// of them, starts nothing twice, and stops nothing that runs because its share has not
+/// been read yet when its machine reports.
+#[test]
+fn pieces_on_different_pages_are_joined() {
+    for page in 1..8 {
+        let mut w = world_in_pieces(270 + page as u64);
+        w.state.page = Some(page);
+        (0..3).for_each(|n| w.kill_for(n, 500));
+        w.run(3_000);
+        w.until_done("wk-000001", 120_000);
+        w.until_done("wk-000002", 120_000);
+        let again = w.starts.iter().filter(|(t, s)| t.starts_with("wk-000001/") && s.len() > 1);
+        let again: Vec<_> = again.collect();
+        assert_eq!(again.len(), 0, "what ran went on where it was");
+        w.keep_rules();
+    }
+}
+
+/// Guards a share that can't be read, or lacks a piece: its job is left alone, loudly, its
+/// record as it is, and other jobs go on.
+#[test]
+fn a_damaged_share_stops_its_job_alone() {
+    for case in 0..3 {
+        let mut w = world_in_pieces(280 + case);
+        (0..3).for_each(|n| w.kill(n));
+        let damaged = Value::Text("?".into());
+        let key = ["shares/wk-000001/0/0", "shares/wk-000001/0/0.1"][case as usize % 2];
+        match case {
+            2 => drop(w.state.keys.remove("shares/wk-000001/0/0.1")),
+            _ => w.state.keys.get_mut(key).unwrap().0 = damaged,
+        }
+        let before = w.state.keys.get(key).map(|k| k.1);
+        let starts: usize = w.starts.iter().filter(|(t, _)| t.starts_with("wk-000001/")).count();
+        (0..3).for_each(|n| w.start(n));
+        w.submit_surely(&job("wk-000003", Shape::Array, 3));
+        w.until_done("wk-000003", 120_000);
+        w.until_done("wk-000002", 120_000);
+        w.run(CANCEL_MS);
+        assert_eq!(w.state.keys.get(key).map(|k| k.1), before, "left as it is");
+        let now: usize = w.starts.iter().filter(|(t, _)| t.starts_with("wk-000001/")).count();
+        assert_eq!(now, starts, "nothing of it starts");
+        w.poll(0, "wk-000001");
+        w.run(1_000);
+        assert_ne!(w.told["wk-000001"], JobStatus::Done);
+        w.keep_rules();
+    }
+}
--- a/crates/core/tests/stories/world.rs
+++ b/crates/core/tests/stories/world.rs
@@ -97,6 +97,8 @@
     /// Writes that were refused for their size, and for their rate.
     pub too_large: u64,
     pub too_many: u64,
+    /// Keys in one answer at most.
+    pub page: Option<usize>,
     /// Sets of keys that hold this are refused as malformed.
     pub poison: Option<String>,
     tokens: f64,
@@ -900,11 +902,15 @@
         let response = if path == "/keys" {
             let starts = arg("starts").unwrap();
             let since = arg("since").unwrap_or_default();
+            let most = self.state.page.unwrap_or(usize::MAX);
+            let found = |k: &String| k.starts_with(&starts) && *k > since;
+            let more = self.state.keys.keys().filter(|k| found(k)).count() > most;
             let pairs: Vec<Pair> = self
                 .state
                 .keys
                 .iter()
-                .filter(|(k, _)| k.starts_with(&starts) && **k > since)
+                .filter(|(k, _)| found(k))
+                .take(most)
                 .map(|(k, (v, s, _))| Pair {
                     path: k.clone(),
                     value: v.clone(),
@@ -912,7 +918,7 @@
                     permit: None,
                 })
                 .collect();
-            ok(to_cbor(&PairList { pairs, more: false, ledger_rev: self.state.rev }))
+            ok(to_cbor(&PairList { pairs, more, ledger_rev: self.state.rev }))
         } else if let Some(key) = path.strip_prefix("/keys/") {
             match self.state.keys.get(key) {
                 Some((v, s, p)) => {
