One piece of code picks the chunks that fit a write; budgets are set by their rates

An end and a fold counted the keys of chunks each in its own copy. To set the budgets at the latch a whole store was made for the rate of its writes, and a budget for that of its reads; the shares are plain rates now. Behaviour as before.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -14,10 +14,6 @@
         Budget { per_s, level: per_s, at_ms: 0, closed_until_ms: 0 }
     }
 
-    pub fn per_s(&self) -> f64 {
-        self.per_s
-    }
-
     /// The limit has changed.
     pub fn set_rate(&mut self, per_s: f64) {
         self.per_s = per_s;
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -7,7 +7,6 @@
 use quartzgate_wire::to_cbor;
 use rand::rngs::SmallRng;
 
-use crate::budget::Budget;
 use crate::chains::Chains;
 use crate::cloud::Cloud;
 use crate::config::Config;
@@ -501,24 +500,22 @@
     pub(crate) fn fit_budgets(&mut self) {
         let limits = self.limits().clone();
         let controllers = self.cfg.platform.siblings.len() + 1;
-        let leads = matches!(self.member.role, crate::member::Role::Restoring)
-            || self.member.role == crate::member::Role::Leading;
-        let reads = match leads {
-            true => leader_share(limits.rps),
-            false => follower_share(limits.rps, controllers),
+        let reads = match self.member.role {
+            Role::Restoring | Role::Leading => leader_share(limits.rps),
+            _ => follower_share(limits.rps, controllers),
         };
-        self.member.reads.set_rate(reads.per_s());
-        self.store.writes.set_rate(Store::new(&limits).writes.per_s());
+        self.member.reads.set_rate(reads);
+        self.store.writes.set_rate(Store::write_rate(&limits));
     }
 }
 
 /// Shares of the state service's limits that the leader may use; the rest is for
 /// the other controllers.
-pub(crate) fn leader_share(limit: f64) -> Budget {
-    Budget::new(limit * 0.7)
+pub(crate) fn leader_share(limit: f64) -> f64 {
+    limit * 0.7
 }
 
 /// Share of a limit for one controller that does not lead.
-pub(crate) fn follower_share(limit: f64, controllers: usize) -> Budget {
-    Budget::new((limit * 0.3 / (controllers.max(2) - 1) as f64).max(2.0))
+pub(crate) fn follower_share(limit: f64, controllers: usize) -> f64 {
+    (limit * 0.3 / (controllers.max(2) - 1) as f64).max(2.0)
 }
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -123,7 +123,7 @@
             inbox_rev: 0,
             siblings: vec![SiblingSeen::default(); n],
             refused: vec![false; n],
-            reads: follower_share(cfg.platform.params.state.rps, n + 1),
+            reads: Budget::new(follower_share(cfg.platform.params.state.rps, n + 1)),
         }
     }
 
@@ -305,7 +305,7 @@
             Role::Follower => {
                 if matches!(old, Role::Leading | Role::Restoring) {
                     self.member.epoch = 0;
-                    self.member.reads = follower_share(limits.rps, controllers);
+                    self.member.reads = Budget::new(follower_share(limits.rps, controllers));
                     self.forget_leadership();
                 }
                 self.member.control = WatchState::Unread;
@@ -314,7 +314,7 @@
             Role::Restoring => {
                 let rps = limits.rps;
                 self.forget_leadership();
-                self.member.reads = leader_share(rps);
+                self.member.reads = Budget::new(leader_share(rps));
                 self.member.inbox = WatchState::Unread;
                 tracing::info!(epoch = self.member.epoch, "leading: reading the records");
                 self.start_restore();
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -89,10 +89,23 @@
 /// The state service takes transactions up to this size.
 const TXN_BYTES: usize = 60 * 1024;
 
+/// The first of these chunks whose keys are no more than so many.
+fn first_within<'a>(
+    chunks: impl Iterator<Item = (&'a u32, &'a Chunk)>,
+    mut left: usize,
+) -> Vec<u32> {
+    let fit = chunks.take_while(|(_, c)| {
+        let fits = c.pieces as usize <= left;
+        left = left.saturating_sub(c.pieces as usize);
+        fits
+    });
+    fit.map(|(n, _)| *n).collect()
+}
+
 impl Store {
     pub fn new(limits: &StateLimits) -> Self {
         Store {
-            writes: leader_share(limits.write_rps * 1.15),
+            writes: Budget::new(Self::write_rate(limits)),
             dirty: BTreeSet::new(),
             jobs: BTreeSet::new(),
             inbox: BTreeSet::new(),
@@ -104,6 +117,11 @@
         }
     }
 
+    /// Changes a second that this controller may make.
+    pub fn write_rate(limits: &StateLimits) -> f64 {
+        leader_share(limits.write_rps * 1.15)
+    }
+
     /// Records that memory is ahead of.
     pub fn behind(&self) -> usize {
         self.dirty.len()
@@ -314,15 +332,8 @@
                 return;
             }
             let stand = job.chunks.iter().filter(|(_, c)| c.stamp > 0);
-            let mut left = if calm { space.max(2) - 1 } else { 0 };
-            let chunks: Vec<u32> = stand
-                .take_while(|(_, c)| {
-                    let fits = c.pieces as usize <= left;
-                    left = left.saturating_sub(c.pieces as usize);
-                    fits
-                })
-                .map(|(n, _)| *n)
-                .collect();
+            let left = if calm { space.max(2) - 1 } else { 0 };
+            let chunks = first_within(stand, left);
             let record = JobRecord {
                 status,
                 spec: None,
@@ -396,17 +407,9 @@
             return;
         }
         let foldable = |c: &Chunk| !c.busy && c.stamp > 0 && c.whole();
-        let whole = job.chunks.iter().filter(|(_, c)| foldable(c)).map(|(n, _)| *n);
+        let whole = job.chunks.iter().filter(|(_, c)| foldable(c));
         let space = room.saturating_sub(txn.apply.len() + 1);
-        let mut left = space;
-        let chunks: Vec<u32> = whole
-            .take_while(|n| {
-                let pieces = job.chunks[n].pieces as usize;
-                let fits = pieces <= left;
-                left = left.saturating_sub(pieces);
-                fits
-            })
-            .collect();
+        let chunks = first_within(whole, space);
         // The job's record is written once for them all: a few are gathered first.
         let few = chunks.len() < FOLD_LEAST.min(space);
         if chunks.is_empty() || few && job.chunks.len() < OPEN_CHUNKS + FOLD_LEAST {
