--- a/crates/core/src/chains.rs
+++ b/crates/core/src/chains.rs
@@ -370,16 +370,16 @@
         let Some(job) = self.jobs.get_mut(ix) else { return };
         job.due = due;
         let old = std::mem::replace(&mut job.rank, rank);
-        if (old == Rank::Low) == (rank == Rank::Low) {
+        if old == rank {
             return;
         }
-        // Machines know how much of them the lowest priority uses.
-        let sign = if rank == Rank::Low { 1.0 } else { -1.0 };
-        let room = job.room();
+        // Machines know how much of them each priority would give up.
+        let (room, before, after) = (job.room(), job.gives_way(old), job.gives_way(rank));
         let on: Vec<_> = job.tasks().filter_map(|(_, t)| t.state.machine()).collect();
         for (machine, _) in on {
             if let Some(m) = self.machines.get_mut(machine) {
-                m.low.add(&room, sign);
+                m.yields[old as usize].add(&room, -before);
+                m.yields[rank as usize].add(&room, after);
             }
         }
     }
--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -84,6 +84,92 @@
     tasks: u32,
 }
 
+/// Machines of one type, zone and kind with so much room each, in thousandths.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    kind: String,
+    zone: Option<u16>,
+    spot: bool,
+    room: [i64; 3],
+}
+
+impl Place {
+    fn room(&self) -> Room {
+        let [cpus, gpus, memory_gb] = self.room.map(|r| r as f64 / 1000.0);
+        Room { cpus, gpus, memory_gb }
+    }
+
+    /// The same machine with so many tasks more on it.
+    fn with(&self, need: &Room, tasks: u32) -> Place {
+        let mut room = self.room();
+        room.add(need, -f64::from(tasks));
+        Place { room: thousandths(&room), ..self.clone() }
+    }
+}
+
+fn thousandths(room: &Room) -> [i64; 3] {
+    [room.cpus, room.gpus, room.memory_gb].map(|r| (r * 1000.0).round() as i64)
+}
+
+/// Free room of a fleet. Machines that are alike in it are counted, not listed, so that
+/// weighing demand against it does not grow with the fleet.
+#[derive(Default)]
+struct Pool {
+    places: BTreeMap<Place, u32>,
+}
+
+impl Pool {
+    fn add(&mut self, place: Place, machines: u32) {
+        if machines > 0 {
+            *self.places.entry(place).or_default() += machines;
+        }
+    }
+
+    fn remove(&mut self, place: &Place, machines: u32) {
+        if let Some(n) = self.places.get_mut(place) {
+            *n -= machines;
+            if *n == 0 {
+                self.places.remove(place);
+            }
+        }
+    }
+
+    /// Tasks that fit where they may.
+    fn holds(&self, need: &Room, may: impl Fn(&Place) -> bool) -> u32 {
+        let places = self.places.iter().filter(|(p, _)| may(p));
+        places.map(|(p, n)| p.room().holds(need).saturating_mul(*n)).fold(0, u32::saturating_add)
+    }
+
+    /// Places as many of these tasks as fit; how many do not.
+    fn fill(&mut self, need: &Room, mut tasks: u32, may: impl Fn(&Place) -> bool) -> u32 {
+        if tasks == 0 {
+            return 0;
+        }
+        let fit = self.places.iter().filter(|(p, _)| may(p) && p.room().fits(need));
+        let found: Vec<(Place, u32)> = fit.map(|(p, n)| (p.clone(), *n)).collect();
+        for (place, machines) in found {
+            let holds = place.room().holds(need).max(1);
+            let full = (tasks / holds).min(machines);
+            self.take(&place, full, need, holds);
+            tasks -= full * holds;
+            if full < machines && tasks > 0 {
+                self.take(&place, 1, need, tasks);
+                tasks = 0;
+            }
+            if tasks == 0 {
+                break;
+            }
+        }
+        tasks
+    }
+
+    /// So many machines take so many tasks each.
+    fn take(&mut self, place: &Place, machines: u32, need: &Room, tasks: u32) {
+        self.remove(place, machines);
+        self.add(place.with(need, tasks), machines);
+    }
+}
+
 impl Controller {
     pub(crate) fn tick_cloud(&mut self) {
         let now = self.now.steady_ms;
@@ -274,27 +360,38 @@
         }
     }
 
-    /// Tasks that wait and have no room now, after what is coming up already.
-    fn unmet(&self) -> Vec<Unmet> {
-        let mut free: Vec<(String, Option<u16>, bool, Room)> = Vec::new();
+    /// Free room of the fleet, with what is coming up already.
+    fn pool(&self) -> Pool {
+        let mut free = Pool::default();
         for (_, m) in self.machines.iter().filter(|(_, m)| m.usable()) {
             // What the lowest priority uses makes way.
             let mut room = self.free_room(m);
-            room.add(&m.low, 1.0);
-            free.push((m.kind.clone(), m.zone, m.spot, room));
-        }
-        for c in self.cloud.coming.values() {
-            if let Some(all) = self.capacity_of(&c.kind) {
-                free.push((c.kind.clone(), c.zone, c.spot, all));
+            room.add(&m.low(), 1.0);
+            let room = thousandths(&room);
+            free.add(Place { kind: m.kind.clone(), zone: m.zone, spot: m.spot, room }, 1);
+        }
+        let mut coming = |kind: &String, zone, spot, machines| {
+            if let Some(all) = self.capacity_of(kind) {
+                let room = thousandths(&all);
+                free.add(Place { kind: kind.clone(), zone, spot, room }, machines);
             }
+        };
+        for c in self.cloud.coming.values() {
+            coming(&c.kind, c.zone, c.spot, 1);
         }
         for ((kind, zone, spot), n) in &self.cloud.asked {
-            for _ in 0..*n {
-                if let Some(all) = self.capacity_of(kind) {
-                    free.push((kind.clone(), Some(*zone), *spot, all));
-                }
-            }
+            coming(kind, Some(*zone), *spot, *n);
         }
+        free
+    }
+
+    fn may_place(&self, spec: &JobSpec, place: &Place) -> bool {
+        self.allows(spec, &place.kind, place.zone, place.spot)
+    }
+
+    /// Tasks that wait and have no room now, after what is coming up already.
+    fn unmet(&self) -> Vec<Unmet> {
+        let mut free = self.pool();
         let mut jobs: Vec<_> =
             self.jobs.iter().filter(|(_, j)| j.state == JobState::Live).collect();
         jobs.sort_by_key(|(ix, j)| (std::cmp::Reverse(j.rank), *ix));
@@ -334,17 +431,7 @@
                 out.extend(self.unmet_spread(job, wanting, &mut free));
                 continue;
             }
-            for (kind, zone, spot, room) in free.iter_mut() {
-                if wanting == 0 {
-                    break;
-                }
-                if !self.allows(&job.spec, kind, *zone, *spot) {
-                    continue;
-                }
-                let n = room.holds(&need).min(wanting);
-                room.add(&need, -f64::from(n));
-                wanting -= n;
-            }
+            wanting = free.fill(&need, wanting, |place| self.may_place(&job.spec, place));
             if wanting > 0 {
                 out.push(Unmet { spec: job.spec.clone(), tasks: wanting });
             }
@@ -357,12 +444,7 @@
     }
 
     /// Demand of a job that is spread: each zone takes no more than the half.
-    fn unmet_spread(
-        &self,
-        job: &Job,
-        wanting: u32,
-        free: &mut [(String, Option<u16>, bool, Room)],
-    ) -> Vec<Unmet> {
+    fn unmet_spread(&self, job: &Job, wanting: u32, free: &mut Pool) -> Vec<Unmet> {
         let zones = &self.cfg.platform.params.zones;
         let need = job.room();
         let most = job.spec.tasks.div_ceil(2);
@@ -374,14 +456,16 @@
         }
         let mut short = vec![0u32; zones.len()];
         for _ in 0..wanting {
-            let place = free.iter_mut().filter(|(kind, zone, spot, room)| {
-                zone.is_some_and(|z| counts[z as usize] < most)
-                    && self.allows(&job.spec, kind, *zone, *spot)
-                    && room.fits(&need)
-            });
-            if let Some(p) = place.min_by_key(|p| p.1.map_or(0, |z| counts[z as usize])) {
-                p.3.add(&need, -1.0);
-                counts[p.1.unwrap_or(0) as usize] += 1;
+            let fits = |p: &&Place| {
+                p.zone.is_some_and(|z| counts[z as usize] < most)
+                    && self.may_place(&job.spec, p)
+                    && p.room().fits(&need)
+            };
+            let place = free.places.keys().filter(fits);
+            let place = place.min_by_key(|p| p.zone.map_or(0, |z| counts[z as usize])).cloned();
+            if let Some(p) = place {
+                free.take(&p, 1, &need, 1);
+                counts[p.zone.unwrap_or(0) as usize] += 1;
                 continue;
             }
             let open = (0..zones.len()).filter(|z| {
@@ -402,11 +486,7 @@
     }
 
     /// A gang's demand: all of it, in one zone if it must be together.
-    fn unmet_gang(
-        &self,
-        job: &Job,
-        free: &mut [(String, Option<u16>, bool, Room)],
-    ) -> Option<Unmet> {
+    fn unmet_gang(&self, job: &Job, free: &mut Pool) -> Option<Unmet> {
         if job.on > 0 || job.tasks().any(|(_, t)| t.state.machine().is_some()) {
             return None;
         }
@@ -414,12 +494,8 @@
         let zones = self.cfg.platform.params.zones.len() as u16;
         let choices: Vec<Option<u16>> =
             if job.spec.together { (0..zones).map(Some).collect() } else { vec![None] };
-        let fits = |zone: Option<u16>, place: &(String, Option<u16>, bool, Room)| {
-            (zone.is_none() || place.1 == zone)
-                && self.allows(&job.spec, &place.0, place.1, place.2)
-        };
-        let holds = |zone: Option<u16>| -> u32 {
-            free.iter().filter(|p| fits(zone, p)).map(|p| p.3.holds(&need)).sum()
+        let fits = |zone: Option<u16>, place: &Place| {
+            (zone.is_none() || place.zone == zone) && self.may_place(&job.spec, place)
         };
         let allowed = |zone: &Option<u16>| {
             zone.is_none_or(|z| {
@@ -427,13 +503,9 @@
                 job.spec.zone.as_ref().is_none_or(|want| want == name)
             })
         };
-        let zone = choices.into_iter().filter(allowed).max_by_key(|z| holds(*z))?;
-        let mut wanting = job.spec.tasks;
-        for place in free.iter_mut().filter(|p| fits(zone, p)) {
-            let n = place.3.holds(&need).min(wanting);
-            place.3.add(&need, -f64::from(n));
-            wanting -= n;
-        }
+        let room = |z: &Option<u16>| free.holds(&need, |p| fits(*z, p));
+        let zone = choices.into_iter().filter(allowed).max_by_key(room)?;
+        let wanting = free.fill(&need, job.spec.tasks, |p| fits(zone, p));
         let mut spec = job.spec.clone();
         if let Some(z) = zone {
             spec.zone = Some(self.cfg.platform.params.zones[z as usize].clone());
@@ -442,14 +514,10 @@
     }
 
     /// Production tasks that would find no room, taken as a share of those running.
-    fn warm_room(&self, free: &[(String, Option<u16>, bool, Room)]) -> Option<Unmet> {
+    fn warm_room(&self, free: &Pool) -> Option<Unmet> {
         let (need, wanted) = self.warm_needed()?;
         let largest = self.production().max_by(|a, b| a.spec.cpus.total_cmp(&b.spec.cpus))?;
-        let have: u32 = free
-            .iter()
-            .filter(|(kind, zone, spot, _)| self.allows(&largest.spec, kind, *zone, *spot))
-            .map(|(_, _, _, room)| room.holds(&need))
-            .sum();
+        let have = free.holds(&need, |place| self.may_place(&largest.spec, place));
         // Work of lower priority makes room when production needs it.
         let yielding: u32 = self
             .machines
@@ -458,7 +526,7 @@
             .flat_map(|(_, m)| m.tasks.keys())
             .filter(|k| self.jobs.get(k.job).is_some_and(|j| j.rank < Rank::Production))
             .count() as u32;
-        let short = wanted.saturating_sub(have + yielding);
+        let short = wanted.saturating_sub(have.saturating_add(yielding));
         (short > 0).then(|| Unmet { spec: largest.spec.clone(), tasks: short })
     }
 
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -11,6 +11,7 @@
 use crate::cloud::Cloud;
 use crate::config::Config;
 use crate::dispatch::Ratios;
+use crate::field::Effort;
 use crate::format::Format;
 use crate::ids::{JobIx, MachineIx, TaskKey};
 use crate::jobs::Jobs;
@@ -145,6 +146,7 @@
     pub(crate) cloud: Cloud,
     pub(crate) restore: Restore,
     pub(crate) ratios: Ratios,
+    pub(crate) effort: Effort,
     pub(crate) epoch_began_ms: u64,
     pub(crate) attempts: u64,
     pub(crate) arrivals: u64,
@@ -154,6 +156,7 @@
     pub(crate) reprobe_due: bool,
     pub(crate) drain_due: bool,
     pub(crate) preempt_due: bool,
+    dealt_ms: u64,
     reprobed_ms: u64,
     preempted_ms: u64,
     pub(crate) supply_changed: bool,
@@ -170,6 +173,7 @@
         let store = Store::new(&cfg.platform.params.state);
         let cloud = Cloud::new(&cfg);
         let member = Member::new(&cfg);
+        let effort = Effort::new(cfg.platform.params.limits.cpu_share);
         Controller {
             cfg,
             now: Now::default(),
@@ -197,6 +201,7 @@
             cloud,
             restore: Restore::default(),
             ratios: Ratios::default(),
+            effort,
             epoch_began_ms: 0,
             attempts: 0,
             arrivals: 0,
@@ -206,6 +211,7 @@
             reprobe_due: false,
             drain_due: false,
             preempt_due: false,
+            dealt_ms: 0,
             reprobed_ms: 0,
             preempted_ms: 0,
             supply_changed: false,
@@ -283,11 +289,13 @@
         if std::mem::take(&mut self.drain_due) {
             self.drain();
         }
-        if std::mem::take(&mut self.deal_due) {
+        let (now, pause) = (self.now.steady_ms, self.cfg.batch_ms());
+        // What has become possible within a moment is dealt in one go.
+        if self.deal_due && now >= self.dealt_ms + pause / 10 {
+            (self.deal_due, self.dealt_ms) = (false, now);
             self.deal_all();
             self.tick_gangs();
         }
-        let (now, pause) = (self.now.steady_ms, self.cfg.batch_ms());
         // These two look at all that waits: once in a while is enough.
         if self.reprobe_due && now >= self.reprobed_ms + pause {
             self.reprobed_ms = now;
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -5,11 +5,10 @@
 
 use std::collections::BTreeMap;
 
-use rand::Rng;
-
 use quartzgate_wire::msg::{JobSpec, Rank, Shape};
 
 use crate::controller::Controller;
+use crate::field::Field;
 use crate::ids::{JobIx, MachineIx, TaskKey};
 use crate::jobs::{Job, JobState, Probe, Task, TaskState};
 use crate::machines::{Machine, Room};
@@ -21,6 +20,8 @@
 const PROBE_BYTES: f64 = 40.0;
 /// Tasks dealt in one go; the rest follow at the next event.
 const DEAL_AT_ONCE: u32 = 256;
+/// Waiting tasks whose machines are looked at in one go.
+const LOOK_AT_ONCE: u32 = 8 * DEAL_AT_ONCE;
 
 /// CPUs of waiting tasks by rank, and of all usable machines.
 pub(crate) struct Backlog {
@@ -33,24 +34,10 @@
     pub fn full(&self, rank: Rank) -> bool {
         self.waiting.range(rank..).map(|(_, cpus)| cpus).sum::<f64>() > 2.0 * self.all
     }
-}
 
-/// A machine as the deal sees it.
-struct Candidate {
-    ix: MachineIx,
-    zone: Option<u16>,
-    free: Room,
-    /// Room that the queue has not spoken for.
-    spare: Room,
-    wait_s: f64,
-    image: bool,
-    /// Fetching the image would take longer than the job's class may wait.
-    late: bool,
-    /// Room that lower priorities would make.
-    yields: Room,
-    spot: bool,
-    used_share: f64,
-    queued: usize,
+    fn add(&mut self, rank: Rank, cpus: f64) {
+        *self.waiting.entry(rank).or_default() += cpus;
+    }
 }
 
 impl Controller {
@@ -101,12 +88,15 @@
             && within(used.gpus + more.gpus, limit.gpus_max)
     }
 
-    /// Deals what may be dealt, higher priority first, then in order of acceptance.
+    /// Deals what may be dealt, higher priority first, then in order of acceptance; what
+    /// looking at machines may cost by now bounds it, and the next call goes on.
     pub(crate) fn deal_all(&mut self) {
+        let now = self.now.steady_ms;
         let mut open: Vec<(Rank, u8, u64, JobIx)> = self
             .jobs
             .iter()
             .filter(|(_, j)| j.state == JobState::Live && j.next < j.spec.tasks && !j.mistaken())
+            .filter(|(_, j)| now >= j.deal_from_ms)
             .map(|(ix, j)| (j.rank, j.lost, j.ready_ms, ix))
             .collect();
         if open.is_empty() {
@@ -115,8 +105,17 @@
         open.sort_by_key(|(rank, lost, at, ix)| (std::cmp::Reverse(*rank), *lost, *at, *ix));
         let mut backlog = self.backlog();
         for (rank, _, _, ix) in open {
-            if !backlog.full(rank) && self.deal_job(ix) {
-                backlog = self.backlog();
+            if backlog.full(rank) {
+                continue;
+            }
+            if !self.effort.left(now) {
+                self.deal_due = true;
+                return;
+            }
+            let asks = |j: &Job| f64::from(j.asking(j.waiting)) * j.spec.cpus;
+            let before = self.jobs.get(ix).map_or(0.0, asks);
+            if self.deal_job(ix) {
+                backlog.add(rank, self.jobs.get(ix).map_or(0.0, asks) - before);
             }
         }
     }
@@ -137,108 +136,6 @@
         Backlog { waiting, all }
     }
 
-    fn candidates(&self, ix: JobIx) -> Vec<Candidate> {
-        let Some(job) = self.jobs.get(ix) else { return Vec::new() };
-        let need = job.room();
-        let now = self.now.steady_ms;
-        let within_s = self.may_wait_s(&job.spec.class);
-        self.machines
-            .iter()
-            .filter(|(_, m)| m.usable() && self.allows(&job.spec, &m.kind, m.zone, m.spot))
-            .filter_map(|(mix, m)| {
-                let all = self.capacity_of(&m.kind)?;
-                if !all.fits(&need) {
-                    return None;
-                }
-                let free =
-                    if now < m.no_room_until_ms { Room::default() } else { all.minus(&m.used) };
-                let mut spare = free;
-                // What is full stays full, whatever its queue has spoken for.
-                for key in &m.queue {
-                    if !spare.fits(&need) {
-                        break;
-                    }
-                    let job = self.jobs.get(key.job).filter(|j| !j.mistaken());
-                    let Some(j) = job else { continue };
-                    let probes = j.task(key.task).map_or(1, |t| t.probes.len()).max(1);
-                    spare.add(&j.room(), -1.0 / probes as f64);
-                }
-                let image = m.images.contains_key(&job.spec.image);
-                let fetch_s = self.fetch_s(&job.spec, &m.kind);
-                let mut yields = free;
-                if job.force() == Rank::Normal {
-                    yields.add(&m.low, 1.0);
-                }
-                for k in m.tasks.keys().filter(|_| job.force() >= Rank::High) {
-                    let Some(j) = self.jobs.get(k.job) else { continue };
-                    if j.rank < job.force() && j.spec.shape != Shape::Gang {
-                        yields.add(&j.room(), 1.0);
-                    }
-                }
-                Some(Candidate {
-                    ix: mix,
-                    late: !image && within_s.is_some_and(|w| fetch_s > w),
-                    yields,
-                    zone: m.zone,
-                    free,
-                    spare,
-                    wait_s: m.wait_s,
-                    image,
-                    spot: m.spot,
-                    used_share: m.used.cpus / all.cpus.max(1e-9),
-                    queued: m.queue.len(),
-                })
-            })
-            .collect()
-    }
-
-    /// The best machines for one more task, at most `count` of them.
-    fn choose(
-        &mut self,
-        list: &mut [Candidate],
-        need: &Room,
-        count: usize,
-        spec_spot: bool,
-    ) -> Vec<MachineIx> {
-        let mut scored: Vec<(f64, usize)> = Vec::with_capacity(list.len());
-        for (at, c) in list.iter().enumerate() {
-            let mut score = self.rng.random_range(0.0..0.01);
-            if c.spare.fits(need) {
-                // Room now: where the image lies, then cheap, then filling up machines.
-                score += match (c.image, c.late) {
-                    (true, _) => 0.0,
-                    (_, false) => 1.0,
-                    (_, true) => 4.0,
-                };
-                // Ordinary room is dear: for what may do without, a short fetch is cheaper.
-                score += if spec_spot && !c.spot { 2.0 } else { 0.0 };
-                score += 0.4 * (1.0 - c.used_share);
-            } else if c.yields.fits(need) {
-                score += 3.0 + if c.image { 0.0 } else { 2.0 };
-                score += 0.4 * c.queued as f64;
-            } else {
-                let room = if c.free.fits(need) { 5.0 } else { 10.0 };
-                score += room + c.wait_s + c.queued as f64;
-            }
-            scored.push((score, at));
-        }
-        if count > 0 && count < scored.len() {
-            scored.select_nth_unstable_by(count - 1, |a, b| a.0.total_cmp(&b.0));
-            scored.truncate(count);
-        }
-        scored.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let picks: Vec<usize> = scored.into_iter().map(|(_, at)| at).collect();
-        let part = 1.0 / picks.len().max(1) as f64;
-        // The first is where it will most likely run.
-        for (n, &at) in picks.iter().enumerate() {
-            let weight = if n == 0 { 1.0 } else { part / 2.0 };
-            list[at].spare.add(need, -weight);
-            list[at].yields.add(need, -weight);
-            list[at].queued += 1;
-        }
-        picks.into_iter().map(|at| list[at].ix).collect()
-    }
-
     /// Time that a job's image takes to be fetched on a type of machine.
     pub(crate) fn fetch_s(&self, spec: &JobSpec, kind: &str) -> f64 {
         let rate = self.types.iter().find(|t| t.name == kind).map_or(0.0, |t| t.fetch_gb_per_s);
@@ -250,7 +147,7 @@
     }
 
     /// Longest time that the operators would have tasks of a class wait.
-    fn may_wait_s(&self, class: &str) -> Option<f64> {
+    pub(crate) fn may_wait_s(&self, class: &str) -> Option<f64> {
         let objectives = &self.cfg.platform.params.objectives;
         let waits = objectives.iter().filter(|o| o.kind == "wait");
         waits.filter(|o| o.class.as_deref() == Some(class)).find_map(|o| o.within_s)
@@ -280,13 +177,13 @@
         if !self.licence(team, &need) || !job.may_open() {
             return false;
         }
-        let mut list = self.candidates(ix);
-        if list.is_empty() {
-            return false;
+        let mut field = self.field(ix);
+        if field.is_empty() {
+            return self.deal_later(ix);
         }
         let count = self.probe_count(&spec);
         if spec.together && self.jobs.get(ix).is_some_and(|j| j.zone.is_none()) {
-            let zone = roomiest_zone(&list, &need);
+            let zone = field.roomiest_zone();
             if let Some(j) = self.jobs.get_mut(ix) {
                 j.zone = zone;
             }
@@ -318,7 +215,7 @@
             }
             let key = TaskKey { job: ix, task: n };
             let untouched = self.jobs.task(key).map(|t| t.state) == Some(TaskState::Undealt);
-            if untouched && !self.deal_task(key, &mut list, &need, count) {
+            if untouched && !self.deal_task(key, &mut field, count) {
                 break;
             }
             if let Some(j) = self.jobs.get_mut(ix) {
@@ -326,35 +223,21 @@
             }
             dealt += 1;
         }
-        dealt > 0
+        dealt > 0 || self.deal_later(ix)
     }
 
-    fn deal_task(
-        &mut self,
-        key: TaskKey,
-        list: &mut [Candidate],
-        need: &Room,
-        count: usize,
-    ) -> bool {
-        let Some(zone) = self.zone_for(key, list, need) else { return false };
-        let Some(job) = self.jobs.get(key.job) else { return false };
-        let spot = job.spec.spot;
-        let picks = match zone {
-            None => self.choose(list, need, count, spot),
-            Some(z) => {
-                let mut within: Vec<Candidate> = Vec::new();
-                for c in list.iter().filter(|c| c.zone == Some(z)) {
-                    within.push(Candidate { ..*c });
-                }
-                let picks = self.choose(&mut within, need, count, spot);
-                for c in list.iter_mut() {
-                    if let Some(w) = within.iter().find(|w| w.ix == c.ix) {
-                        (c.spare, c.queued) = (w.spare, w.queued);
-                    }
-                }
-                picks
-            }
-        };
+    /// No machine can take a task of the job: it is not looked at again at every event.
+    fn deal_later(&mut self, ix: JobIx) -> bool {
+        let later = self.now.steady_ms + self.cfg.batch_ms();
+        if let Some(j) = self.jobs.get_mut(ix) {
+            j.deal_from_ms = later;
+        }
+        false
+    }
+
+    fn deal_task(&mut self, key: TaskKey, field: &mut Field, count: usize) -> bool {
+        let Some(zone) = self.zone_for(key, field) else { return false };
+        let picks = field.choose(self, zone, count, &[]);
         if picks.is_empty() {
             return false;
         }
@@ -366,7 +249,7 @@
 
     /// Zone that the deal fixes for a task: `Some(None)` if its job has no zone
     /// rule, `None` if no zone can take it now.
-    fn zone_for(&mut self, key: TaskKey, list: &[Candidate], need: &Room) -> Option<Option<u16>> {
+    fn zone_for(&self, key: TaskKey, field: &Field) -> Option<Option<u16>> {
         let job = self.jobs.get(key.job)?;
         if job.spec.together {
             return job.zone.map(Some);
@@ -374,18 +257,7 @@
         if !job.spec.spread {
             return Some(None);
         }
-        let zones = self.cfg.platform.params.zones.len() as u16;
-        let most = job.spec.tasks.div_ceil(2);
-        let counts = self.zone_counts(key);
-        let best = (0..zones)
-            .filter(|z| counts[*z as usize] < most)
-            .filter(|z| list.iter().any(|c| c.zone == Some(*z)))
-            .max_by_key(|z| {
-                let here = list.iter().filter(|c| c.zone == Some(*z));
-                let room: u32 = here.clone().map(|c| c.spare.holds(need)).sum();
-                let image = here.filter(|c| c.image && c.spare.fits(need)).count();
-                (room > 0, std::cmp::Reverse(counts[*z as usize]), image > 0, room)
-            })?;
+        let best = field.spread_zone(&self.zone_counts(key), job.spec.tasks.div_ceil(2))?;
         Some(Some(best))
     }
 
@@ -460,79 +332,99 @@
     /// have room. Costs a write, so it happens once a round or when supply changes.
     pub(crate) fn reprobe(&mut self) {
         let now = self.now.steady_ms;
-        let mut waiting: Vec<(Rank, u8, f64, u64, TaskKey)> = Vec::new();
+        self.reprobe_due = false;
+        let mut jobs: Vec<(Rank, u8, f64, JobIx)> = Vec::new();
         for (ix, job) in self.jobs.iter() {
             let gang = job.spec.shape == Shape::Gang;
-            if job.state != JobState::Live || job.waiting == 0 || gang || !job.may_try(now) {
-                continue;
-            }
-            let most = job.asking(job.waiting) as usize;
-            let ready = |t: &Task| t.state == TaskState::Waiting && t.not_before_ms <= now;
-            for (n, t) in job.tasks().filter(|(_, t)| ready(t)).take(most) {
-                let key = TaskKey { job: ix, task: n };
-                let remaining_s = job.remaining_s();
-                waiting.push((job.rank, job.lost, remaining_s, t.arrived, key));
+            if job.state == JobState::Live && job.waiting > 0 && !gang && job.may_try(now) {
+                jobs.push((job.rank, job.lost, job.remaining_s(), ix));
             }
         }
+        if jobs.is_empty() {
+            return;
+        }
         // As the queues have it.
-        waiting.sort_by(|a, b| {
+        jobs.sort_by(|a, b| {
             let standing = (b.0, a.1).cmp(&(a.0, b.1));
             standing.then(a.2.total_cmp(&b.2)).then(a.3.cmp(&b.3))
         });
-        let mut last: Option<(JobIx, Vec<Candidate>)> = None;
-        for (_, _, _, _, key) in waiting.into_iter().take(DEAL_AT_ONCE as usize) {
-            // A machine may have become usable since the task began to wait.
-            self.enqueue(key);
-            let Some(job) = self.jobs.get(key.job) else { continue };
-            let Some(task) = job.task(key.task) else { continue };
+        let roomy = self.roomy_machines();
+        let (mut looked, mut moved) = (0, 0);
+        for (_, _, _, ix) in jobs {
+            let Some(job) = self.jobs.get(ix) else { continue };
+            let most = job.asking(job.waiting) as usize;
+            let ready = |t: &Task| t.state == TaskState::Waiting && t.not_before_ms <= now;
+            let waiting = job.tasks().filter(|(_, t)| ready(t)).take(most);
+            let keys: Vec<TaskKey> = waiting.map(|(task, _)| TaskKey { job: ix, task }).collect();
             let need = job.room();
-            let failed_here = |ix: &MachineIx| job.errors_on.contains(ix);
-            let has_room = |p: &Probe| {
-                self.machines.get(p.machine).is_some_and(|m| {
-                    m.usable() && self.free_room(m).fits(&need) && !failed_here(&p.machine)
-                })
+            let serves = |(at, spare): &&(MachineIx, Room)| {
+                let m = self.machines.get(*at).filter(|_| spare.fits(&need));
+                m.is_some_and(|m| self.allows(&job.spec, &m.kind, m.zone, m.spot))
             };
-            let live = task
-                .probes
-                .iter()
-                .any(|p| self.machines.get(p.machine).is_some_and(|m| m.usable()));
-            if task.probes.iter().any(has_room) {
-                continue;
-            }
-            let (spec, fixed) = (job.spec.clone(), job.zone);
-            let old: Vec<MachineIx> = task.probes.iter().map(|p| p.machine).collect();
-            let avoid = job.errors_on.clone();
-            let mut list = match last.take() {
-                Some((ix, list)) if ix == key.job => list,
-                _ => self.candidates(key.job),
-            };
-            let roomy = list.iter().any(|c| c.spare.fits(&need) && !old.contains(&c.ix));
-            let at = if roomy || !live { self.zone_for(key, &list, &need) } else { None };
-            if let Some(zone) = at.map(|z| z.or(fixed)) {
-                let others = list.iter().any(|c| !avoid.contains(&c.ix));
-                let mut within: Vec<Candidate> = list
-                    .iter()
-                    .filter(|c| zone.is_none() || c.zone == zone)
-                    .filter(|c| !others || !avoid.contains(&c.ix))
-                    .map(|c| Candidate { ..*c })
-                    .collect();
-                let useful = within.iter().any(|c| c.spare.fits(&need));
-                if useful || !live && !within.is_empty() {
-                    let count = self.probe_count(&spec);
-                    let picks = self.choose(&mut within, &need, count, spec.spot);
-                    for c in list.iter_mut() {
-                        if let Some(w) = within.iter().find(|w| w.ix == c.ix) {
-                            (c.spare, c.queued) = (w.spare, w.queued);
-                        }
+            let room: Vec<MachineIx> = roomy.iter().filter(serves).map(|(at, _)| *at).collect();
+            let mut field: Option<Field> = None;
+            for key in keys {
+                if looked >= LOOK_AT_ONCE || moved >= DEAL_AT_ONCE {
+                    self.reprobe_due = true;
+                    return;
+                }
+                looked += 1;
+                if !self.served(key, &room) {
+                    if field.is_none() && !self.effort.left(now) {
+                        self.reprobe_due = true;
+                        return;
                     }
-                    self.set_probes(key, picks, zone);
-                    self.enqueue(key);
-                    self.mark_dirty(key.job, key.task / CHUNK);
+                    let field = field.get_or_insert_with(|| self.field(ix));
+                    moved += u32::from(self.reprobe_task(key, field));
                 }
             }
-            last = Some((key.job, list));
         }
-        self.reprobe_due = false;
+    }
+
+    /// Whether a waiting task is as well placed as it can be: a machine of its own has
+    /// room, or one lives and no other has any.
+    fn served(&mut self, key: TaskKey, room: &[MachineIx]) -> bool {
+        // A machine may have become usable since the task began to wait.
+        self.enqueue(key);
+        let Some(job) = self.jobs.get(key.job) else { return true };
+        let Some(task) = job.task(key.task) else { return true };
+        let need = job.room();
+        let (mut live, mut has_room) = (false, false);
+        for p in &task.probes {
+            let Some(m) = self.machines.get(p.machine).filter(|m| m.usable()) else { continue };
+            live = true;
+            has_room |= self.free_room(m).fits(&need) && !job.errors_on.contains(&p.machine);
+        }
+        let elsewhere = |ix: &MachineIx| !task.probes.iter().any(|p| p.machine == *ix);
+        has_room || live && !room.iter().any(elsewhere)
+    }
+
+    /// Gives a waiting task other machines, if that helps.
+    fn reprobe_task(&mut self, key: TaskKey, field: &mut Field) -> bool {
+        let Some(job) = self.jobs.get(key.job) else { return false };
+        let Some(task) = job.task(key.task) else { return false };
+        let (spec, fixed, avoid) = (job.spec.clone(), job.zone, job.errors_on.clone());
+        let usable = |p: &Probe| self.machines.get(p.machine).is_some_and(|m| m.usable());
+        let live = task.probes.iter().any(usable);
+        if live && !field.roomy(None) {
+            return false;
+        }
+        let Some(zone) = self.zone_for(key, field).map(|z| z.or(fixed)) else { return false };
+        if !field.roomy(zone) && (live || !field.any_in(zone)) {
+            return false;
+        }
+        let count = self.probe_count(&spec);
+        let mut picks = field.choose(self, zone, count, &avoid);
+        if picks.is_empty() {
+            picks = field.choose(self, zone, count, &[]);
+        }
+        if picks.is_empty() {
+            return false;
+        }
+        self.set_probes(key, picks, zone);
+        self.enqueue(key);
+        self.mark_dirty(key.job, key.task / CHUNK);
+        true
     }
 
     /// Machines that waiting tasks of this job are probed to may bind now.
@@ -546,13 +438,3 @@
         self.touched.extend(machines);
     }
 }
-
-/// Zone with the most room that nobody has spoken for.
-fn roomiest_zone(list: &[Candidate], need: &Room) -> Option<u16> {
-    let mut zones: Vec<u16> = list.iter().filter_map(|c| c.zone).collect();
-    zones.sort_unstable();
-    zones.dedup();
-    zones.into_iter().max_by_key(|z| {
-        list.iter().filter(|c| c.zone == Some(*z)).map(|c| c.spare.holds(need)).sum::<u32>()
-    })
-}
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -6,7 +6,7 @@
 use quartzgate_wire::msg::{JobSpec, Rank, Shape, TaskStatus};
 
 use crate::controller::Controller;
-use crate::ids::{MachineIx, TaskKey};
+use crate::ids::{JobIx, MachineIx, TaskKey};
 use crate::jobs::{Job, JobState, Task, TaskState};
 use crate::machines::Room;
 use crate::queue::{pick, QueueOrder, Standing};
@@ -53,6 +53,9 @@
     Ordinary,
 }
 
+/// Waiting tasks that others may be stopped for in one go.
+const ASK_AT_ONCE: usize = 1_024;
+
 impl Controller {
     /// Constraints of a job, with the amount a task asks of each.
     fn constraints(s: &JobSpec) -> Vec<(Constraint, f64)> {
@@ -281,15 +284,14 @@
 
     /// Another machine of the task's that has room and, unlike this one, the image.
     fn image_elsewhere(&self, job: &Job, task: &Task, ix: MachineIx) -> Option<MachineIx> {
-        let image = &job.spec.image;
-        if self.machines.get(ix)?.images.contains_key(image) {
+        if self.machines.get(ix)?.images.contains(&job.image) {
             return None;
         }
         let need = job.room();
         task.probes.iter().map(|p| p.machine).find(|other| {
             self.machines.get(*other).is_some_and(|m| {
                 m.usable()
-                    && m.images.contains_key(image)
+                    && m.images.contains(&job.image)
                     && self.now.steady_ms >= m.no_room_until_ms
                     && self.free_room(m).fits(&need)
             })
@@ -323,27 +325,37 @@
     /// Makes room for waiting tasks of higher priority by stopping lower ones,
     /// cheapest loss first.
     pub(crate) fn preempt(&mut self) {
-        let mut asking: Vec<(Rank, u64, TaskKey)> = Vec::new();
         let on = self.jobs.iter().filter(|(_, j)| j.bound > 0);
         let Some(lowest) = on.map(|(_, j)| j.rank).min() else { return };
+        let mut jobs: Vec<(Rank, u64, JobIx)> = Vec::new();
         for (ix, job) in self.jobs.iter() {
             let gang = job.spec.shape == Shape::Gang;
             let idle = job.waiting == 0 || job.mistaken();
             if job.state != JobState::Live || idle || job.force() <= lowest || gang {
                 continue;
             }
+            let waits = |t: &&Task| t.state == TaskState::Waiting;
+            let first = job.tasks().map(|(_, t)| t).find(waits).map_or(0, |t| t.arrived);
+            jobs.push((job.force(), first, ix));
+        }
+        jobs.sort_by_key(|(rank, at, _)| (std::cmp::Reverse(*rank), *at));
+        let mut asking: Vec<(Rank, TaskKey)> = Vec::new();
+        for (rank, _, ix) in jobs {
+            let Some(job) = self.jobs.get(ix) else { continue };
             for (n, t) in job.tasks() {
                 let key = TaskKey { job: ix, task: n };
-                let may = t.probes.iter().any(|p| self.startable(job, key, t, p.machine));
-                if may {
-                    asking.push((job.force(), t.arrived, key));
+                if t.probes.iter().any(|p| self.startable(job, key, t, p.machine)) {
+                    asking.push((rank, key));
                 }
             }
+            // The rest has its turn once these are served.
+            if asking.len() >= ASK_AT_ONCE {
+                break;
+            }
         }
-        asking.sort_by_key(|(rank, at, _)| (std::cmp::Reverse(*rank), *at));
         // Room that is being made already, by machine.
         let mut promised: BTreeMap<MachineIx, Room> = BTreeMap::new();
-        for (rank, _, key) in asking {
+        for (rank, key) in asking {
             self.preempt_for(key, rank, &mut promised);
         }
     }
@@ -358,7 +370,7 @@
             let mut room = self.free_room(m);
             // Below high priority only the lowest makes way.
             let mut most = room;
-            most.add(&m.low, 1.0);
+            most.add(&m.low(), 1.0);
             let hopeless = rank == Rank::Normal && !most.fits(&need);
             if hopeless || !self.startable(job, key, task, p.machine) {
                 continue;
@@ -389,7 +401,7 @@
                 chosen.push(k);
             }
             // Seconds of a fetch weigh as much as seconds of work lost.
-            if !m.images.contains_key(&job.spec.image) {
+            if !m.images.contains(&job.image) {
                 cost += 2.0 * job.spec.cpus * self.fetch_s(&job.spec, &m.kind);
             }
             if room.fits(&need) && best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
--- /dev/null
+++ b/crates/core/src/field.rs
@@ -0,0 +1,321 @@
+//! The machines that tasks of one job may be dealt to, best first.
+//!
+//! Looking at all machines is what dealing costs, and it grows with the fleet. So it is
+//! done once for many tasks: machines lie in a heap for each zone, ordered by how well
+//! they serve, and a pick puts those that it took back in their new places. How many
+//! machines may be looked at in a while is bounded (`Effort`), so that dealing never
+//! takes the time that running work needs.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use ordered_float::OrderedFloat;
+use quartzgate_wire::msg::JobSpec;
+use rand::Rng;
+
+use crate::budget::Budget;
+use crate::controller::Controller;
+use crate::ids::{JobIx, MachineIx};
+use crate::machines::{Machine, Room};
+
+/// Machines looked at in a second of a whole core, by rough measure.
+const LOOKS_PER_CORE_S: f64 = 3e6;
+/// Share of the processor that dealing may take for looking at machines.
+const LOOKS_SHARE: f64 = 0.25;
+
+/// What dealing may look at: machines a second, in proportion to the processor.
+pub(crate) struct Effort {
+    looks: Budget,
+}
+
+impl Effort {
+    pub fn new(cpu_share: f64) -> Self {
+        Effort { looks: Budget::new(cpu_share.max(0.01) * LOOKS_PER_CORE_S * LOOKS_SHARE) }
+    }
+
+    /// Whether so many machines may be looked at now. One look at the whole fleet is
+    /// allowed whenever the last is paid for, however large the fleet.
+    pub fn left(&mut self, now_ms: u64) -> bool {
+        self.looks.room(now_ms, 0.0) > 0.0
+    }
+
+    pub fn spend(&mut self, now_ms: u64, machines: usize) {
+        self.looks.force(now_ms, machines as f64);
+    }
+}
+
+/// A machine as the deal sees it.
+struct Candidate {
+    ix: MachineIx,
+    zone: Option<u16>,
+    free: Room,
+    /// Room that the queue has not spoken for.
+    spare: Room,
+    wait_s: f64,
+    image: bool,
+    /// Fetching the image would take longer than the job's class may wait.
+    late: bool,
+    spot: bool,
+    used_share: f64,
+    queued: usize,
+    /// Tasks that were picked for it since, by weight.
+    taken: f64,
+    jitter: f64,
+}
+
+type Scored = Reverse<(OrderedFloat<f64>, usize)>;
+
+/// What one zone offers the job.
+#[derive(Clone, Debug, Default)]
+struct ZoneRoom {
+    machines: u32,
+    /// Tasks that its spare room holds, and machines among them that have the image.
+    holds: u32,
+    images: u32,
+}
+
+pub(crate) struct Field {
+    job: JobIx,
+    need: Room,
+    spot: bool,
+    list: Vec<Candidate>,
+    /// Places in `list` by zone, those of unknown zone last.
+    heaps: Vec<BinaryHeap<Scored>>,
+    zones: Vec<ZoneRoom>,
+}
+
+/// What the machines of a type are to a job.
+struct Kind<'a> {
+    name: &'a str,
+    all: Room,
+    late: bool,
+}
+
+impl Field {
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// Machines that have room that nobody has spoken for, in this zone or in any.
+    pub fn roomy(&self, zone: Option<u16>) -> bool {
+        let within = |(z, _): &(usize, &ZoneRoom)| zone.is_none_or(|want| want as usize == *z);
+        self.zones.iter().enumerate().filter(within).any(|(_, z)| z.holds > 0)
+    }
+
+    pub fn any_in(&self, zone: Option<u16>) -> bool {
+        zone.map_or(!self.list.is_empty(), |z| self.zones[z as usize].machines > 0)
+    }
+
+    /// Zone with the most room that nobody has spoken for.
+    pub fn roomiest_zone(&self) -> Option<u16> {
+        let known = self.zones.len() as u16 - 1;
+        let offers = (0..known).filter(|z| self.zones[*z as usize].machines > 0);
+        offers.max_by_key(|z| self.zones[*z as usize].holds)
+    }
+
+    /// The zone for one more task of a job that is spread: the emptiest that has room
+    /// and may take one, rather where the image lies.
+    pub fn spread_zone(&self, counts: &[u32], most: u32) -> Option<u16> {
+        let open = (0..counts.len()).filter(|z| counts[*z] < most && self.zones[*z].machines > 0);
+        let best = open.max_by_key(|z| {
+            let room = &self.zones[*z];
+            (room.holds > 0, Reverse(counts[*z]), room.images > 0, room.holds)
+        });
+        best.map(|z| z as u16)
+    }
+
+    /// The best machines for one more task, at most `count` of them, the first being
+    /// where it will most likely run.
+    pub fn choose(
+        &mut self,
+        core: &Controller,
+        zone: Option<u16>,
+        count: usize,
+        avoid: &[MachineIx],
+    ) -> Vec<MachineIx> {
+        let heaps: Vec<usize> = match zone {
+            Some(z) => vec![z as usize],
+            None => (0..self.heaps.len()).collect(),
+        };
+        let (mut picks, mut passed) = (Vec::with_capacity(count), Vec::new());
+        while picks.len() < count {
+            let tops = heaps.iter().filter_map(|h| self.heaps[*h].peek().map(|top| (top, *h)));
+            let Some(h) = tops.max_by_key(|(top, _)| **top).map(|(_, h)| h) else { break };
+            let Some(top) = self.heaps[h].pop() else { break };
+            let Reverse((_, at)) = top;
+            match avoid.contains(&self.list[at].ix) {
+                true => passed.push((h, top)),
+                false => picks.push((h, at)),
+            }
+        }
+        passed.into_iter().for_each(|(h, top)| self.heaps[h].push(top));
+        let others = 0.5 / picks.len().max(1) as f64;
+        for (n, &(h, at)) in picks.iter().enumerate() {
+            self.take(h, at, if n == 0 { 1.0 } else { others });
+            let score = self.score(core, at);
+            self.heaps[h].push(Reverse((score, at)));
+        }
+        picks.into_iter().map(|(_, at)| self.list[at].ix).collect()
+    }
+
+    fn take(&mut self, zone: usize, at: usize, weight: f64) {
+        let (c, room) = (&mut self.list[at], &mut self.zones[zone]);
+        let (held, image) = (c.spare.holds(&self.need), c.image);
+        c.spare.add(&self.need, -weight);
+        c.taken += weight;
+        c.queued += 1;
+        let holds = c.spare.holds(&self.need);
+        room.holds -= held - holds;
+        if image && held > 0 && holds == 0 {
+            room.images -= 1;
+        }
+    }
+
+    /// How well a machine would serve one more task: the lower the better.
+    fn score(&self, core: &Controller, at: usize) -> OrderedFloat<f64> {
+        let c = &self.list[at];
+        let mut score = c.jitter;
+        if c.spare.fits(&self.need) {
+            // Room now: where the image lies, then cheap, then filling up machines.
+            score += match (c.image, c.late) {
+                (true, _) => 0.0,
+                (_, false) => 1.0,
+                (_, true) => 4.0,
+            };
+            // Ordinary room is dear: for what may do without, a short fetch is cheaper.
+            score += if self.spot && !c.spot { 2.0 } else { 0.0 };
+            score += 0.4 * (1.0 - c.used_share);
+        } else if self.yields(core, c) {
+            score += 3.0 + if c.image { 0.0 } else { 2.0 };
+            score += 0.4 * c.queued as f64;
+        } else {
+            let room = if c.free.fits(&self.need) { 5.0 } else { 10.0 };
+            score += room + c.wait_s + c.queued as f64;
+        }
+        OrderedFloat(score)
+    }
+
+    /// Whether there is room for one more once lower priorities make way.
+    fn yields(&self, core: &Controller, c: &Candidate) -> bool {
+        let (Some(job), Some(m)) = (core.jobs.get(self.job), core.machines.get(c.ix)) else {
+            return false;
+        };
+        let mut room = c.free;
+        room.add(&self.need, -c.taken);
+        room.add(&m.yielding(job.force()), 1.0);
+        room.fits(&self.need)
+    }
+}
+
+impl Controller {
+    /// Looks at all machines for a job's tasks.
+    pub(crate) fn field(&mut self, ix: JobIx) -> Field {
+        let now = self.now.steady_ms;
+        self.effort.spend(now, self.machines.len());
+        let zones = self.cfg.platform.params.zones.len();
+        let mut field = Field {
+            job: ix,
+            need: Room::default(),
+            spot: false,
+            list: Vec::new(),
+            heaps: vec![BinaryHeap::new(); zones + 1],
+            zones: vec![ZoneRoom::default(); zones + 1],
+        };
+        let mut rng = self.rng.clone();
+        let Some(job) = self.jobs.get(ix) else { return field };
+        (field.need, field.spot) = (job.room(), job.spec.spot);
+        let kinds = self.kinds_for(&job.spec);
+        let want = self.zone_wanted(&job.spec);
+        for (mix, m) in self.machines.iter().filter(|(_, m)| m.usable()) {
+            let kind = kinds.iter().find(|k| k.name == m.kind);
+            let allowed = (job.spec.spot || !m.spot) && want.is_none_or(|z| m.zone == z);
+            let Some(kind) = kind.filter(|k| allowed && k.all.fits(&field.need)) else { continue };
+            let (free, spare) = self.spare_room(m, &kind.all, &field.need);
+            let image = m.images.contains(&job.image);
+            field.list.push(Candidate {
+                ix: mix,
+                late: !image && kind.late,
+                zone: m.zone,
+                free,
+                spare,
+                wait_s: m.wait_s,
+                image,
+                spot: m.spot,
+                used_share: m.used.cpus / kind.all.cpus.max(1e-9),
+                queued: m.queue.len(),
+                taken: 0.0,
+                jitter: rng.random_range(0.0..0.01),
+            });
+        }
+        let mut scored: Vec<Vec<Scored>> = vec![Vec::new(); zones + 1];
+        for at in 0..field.list.len() {
+            let c = &field.list[at];
+            let z = c.zone.map_or(zones, usize::from);
+            let room = &mut field.zones[z];
+            let holds = c.spare.holds(&field.need);
+            room.machines += 1;
+            room.holds += holds;
+            room.images += u32::from(c.image && holds > 0);
+            scored[z].push(Reverse((field.score(self, at), at)));
+        }
+        field.heaps = scored.into_iter().map(BinaryHeap::from).collect();
+        self.rng = rng;
+        field
+    }
+
+    /// Room that a machine has now, and what of it its queue has not spoken for. What is
+    /// full stays full, whatever its queue has spoken for.
+    fn spare_room(&self, m: &Machine, all: &Room, need: &Room) -> (Room, Room) {
+        if self.now.steady_ms < m.no_room_until_ms {
+            return (Room::default(), Room::default());
+        }
+        let free = all.minus(&m.used);
+        let mut spare = free;
+        for key in &m.queue {
+            if !spare.fits(need) {
+                break;
+            }
+            let job = self.jobs.get(key.job).filter(|j| !j.mistaken());
+            let Some(j) = job else { continue };
+            let probes = j.task(key.task).map_or(1, |t| t.probes.len()).max(1);
+            spare.add(&j.room(), -1.0 / probes as f64);
+        }
+        (free, spare)
+    }
+
+    /// The types of machines that a job allows.
+    fn kinds_for<'a>(&'a self, spec: &JobSpec) -> Vec<Kind<'a>> {
+        let within_s = self.may_wait_s(&spec.class);
+        let named = |name: &String| spec.types.as_ref().is_none_or(|t| t.contains(name));
+        let kinds = self.types.iter().filter(|t| named(&t.name));
+        let kinds = kinds.map(|t| Kind {
+            name: &t.name,
+            all: Room { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb },
+            late: within_s.is_some_and(|w| self.fetch_s(spec, &t.name) > w),
+        });
+        kinds.collect()
+    }
+
+    /// The only zone that a job allows: `None` for any, `Some(None)` for one that the
+    /// settings don't know.
+    fn zone_wanted(&self, spec: &JobSpec) -> Option<Option<u16>> {
+        let zones = &self.cfg.platform.params.zones;
+        let place = |want: &String| zones.iter().position(|z| z == want).map(|z| z as u16);
+        spec.zone.as_ref().map(place)
+    }
+
+    /// Machines that have room now that nobody has spoken for, for a quick look at
+    /// whether one could serve.
+    pub(crate) fn roomy_machines(&mut self) -> Vec<(MachineIx, Room)> {
+        let now = self.now.steady_ms;
+        // Little is looked at of each.
+        self.effort.spend(now, self.machines.len() / 4);
+        let least = Room { cpus: 1e-3, gpus: 0.0, memory_gb: 0.0 };
+        let usable = self.machines.iter().filter(|(_, m)| m.usable());
+        let roomy = usable.filter_map(|(ix, m)| {
+            let (_, spare) = self.spare_room(m, &self.capacity_of(&m.kind)?, &least);
+            spare.fits(&least).then_some((ix, spare))
+        });
+        roomy.collect()
+    }
+}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -14,6 +14,18 @@
     pub task: u32,
 }
 
+/// An image's name, hashed: machines remember many, and only a preference hangs on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ImageKey(u64);
+
+impl ImageKey {
+    pub fn of(name: &str) -> ImageKey {
+        let mut hasher = std::hash::DefaultHasher::new();
+        std::hash::Hasher::write(&mut hasher, name.as_bytes());
+        ImageKey(std::hash::Hasher::finish(&hasher))
+    }
+}
+
 /// Bits of a token or an attempt number that count within an epoch.
 const COUNTER_BITS: u32 = 24;
 
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -3,13 +3,13 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use quartzgate_wire::msg::{JobAnswer, JobSpec, JobStatus, Rank, TaskStatus};
+use quartzgate_wire::msg::{JobAnswer, JobSpec, JobStatus, Rank, Shape, TaskStatus};
 
 use crate::blame::Trust;
 use crate::chains::Due;
 use crate::controller::Controller;
 use crate::deal::OPEN_CHUNKS;
-use crate::ids::{JobIx, MachineIx, TaskKey};
+use crate::ids::{ImageKey, JobIx, MachineIx, TaskKey};
 use crate::machines::{MachineState, Room};
 use crate::records::{ranges, ProbeSet, RecordedStatus, ShareRecord, CHUNK};
 
@@ -130,6 +130,7 @@
 pub struct Job {
     pub id: String,
     pub spec: JobSpec,
+    pub image: ImageKey,
     pub team: usize,
     pub state: JobState,
     pub stamp: u64,
@@ -156,6 +157,8 @@
     pub waiting: u32,
     /// First task that has not been dealt.
     pub next: u32,
+    /// No machine could take a task of it: not dealt again before then.
+    pub deal_from_ms: u64,
     /// Machines on which a task of it failed.
     pub errors_on: Vec<MachineIx>,
     pub trust: Trust,
@@ -180,6 +183,12 @@
         Room { cpus: self.spec.cpus, gpus: self.spec.gpus, memory_gb: self.spec.memory_gb }
     }
 
+    /// Share of its tasks' room that others may count on when it has this priority: a
+    /// gang does not make way in part, unless it is of the lowest.
+    pub fn gives_way(&self, rank: Rank) -> f64 {
+        f64::from(u8::from(self.spec.shape != Shape::Gang || rank == Rank::Low))
+    }
+
     /// Work that the job still needs, by its owner's estimate, in seconds.
     pub fn remaining_s(&self) -> f64 {
         f64::from(self.spec.tasks.saturating_sub(self.done)) * self.spec.estimate_s
@@ -313,6 +322,7 @@
         let rank = spec.rank;
         let mut job = Job {
             id: spec.id.clone(),
+            image: ImageKey::of(&spec.image),
             spec,
             team,
             state,
@@ -331,6 +341,7 @@
             on: 0,
             waiting: 0,
             next: 0,
+            deal_from_ms: 0,
             errors_on: Vec::new(),
             trust: Trust::Untried,
             trials: 0,
@@ -382,7 +393,7 @@
         let now = self.now.steady_ms;
         let Some(job) = self.jobs.get_mut(key.job) else { return };
         let (room, team) = (job.room(), job.team);
-        let low = if job.rank == Rank::Low { 1.0 } else { 0.0 };
+        let (rank, yields) = (job.rank as usize, job.gives_way(job.rank));
         let Some(task) = job.task_mut(key.task) else { return };
         let old = std::mem::replace(&mut task.state, state);
         let moved = std::mem::discriminant(&old) != std::mem::discriminant(&state);
@@ -413,9 +424,9 @@
                 if let Some(m) = self.machines.get_mut(ix) {
                     m.tasks.remove(&key);
                     m.used.add(&room, -1.0);
-                    m.low.add(&room, -low);
+                    m.yields[rank].add(&room, -yields);
                     if m.tasks.is_empty() {
-                        (m.used, m.low) = Default::default();
+                        (m.used, m.yields) = Default::default();
                         m.idle_since_ms = now;
                     }
                 }
@@ -426,7 +437,7 @@
                 if let Some(m) = self.machines.get_mut(ix) {
                     m.tasks.insert(key, attempt);
                     m.used.add(&room, 1.0);
-                    m.low.add(&room, low);
+                    m.yields[rank].add(&room, yields);
                 }
             }
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 mod controller;
 mod deal;
 mod dispatch;
+mod field;
 mod format;
 mod gang;
 mod ids;
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -6,14 +6,14 @@
 
 use quartzgate_wire::http::Response;
 use quartzgate_wire::msg::{
-    Cause, Forward, Order, OrdersRequest, Redirect, Report, ReportAnswer, Shape,
+    Cause, Forward, Order, OrdersRequest, Rank, Redirect, Report, ReportAnswer, Shape,
 };
 use quartzgate_wire::msg::{ReportTask, TaskStatus};
 use quartzgate_wire::{from_cbor, to_cbor};
 
 use crate::blame::Trust;
 use crate::controller::{Controller, Pending};
-use crate::ids::{epoch_of, in_epoch, parse_task, task_name, JobIx, MachineIx, TaskKey};
+use crate::ids::{epoch_of, in_epoch, parse_task, task_name, ImageKey, JobIx, MachineIx, TaskKey};
 use crate::jobs::{JobState, TaskState};
 use crate::post::Letter;
 use crate::{Outcome, Peer, RequestId};
@@ -99,8 +99,8 @@
     /// Tasks that an earlier owner may have started here.
     pub unproven: Vec<TaskKey>,
     pub used: Room,
-    /// The part of it that the lowest priority uses: it makes way for all others.
-    pub low: Room,
+    /// What of it each priority uses and would give up, the lowest first.
+    pub yields: [Room; 4],
     pub idle_since_ms: u64,
     /// Starts bound here and not sent yet.
     pub outbox: Vec<(TaskKey, u64)>,
@@ -116,7 +116,8 @@
     pub reported: Vec<ReportTask>,
     /// The newest report began a session: all of earlier ones is gone.
     pub fresh_session: bool,
-    pub images: BTreeMap<String, u64>,
+    /// Images that tasks have run from here, by key.
+    pub images: BTreeSet<ImageKey>,
     /// Jobs whose tasks failed here since one last completed.
     pub failures: BTreeSet<JobIx>,
     pub quarantined: bool,
@@ -134,6 +135,24 @@
         self.quarantined && now_ms >= self.empty_from_ms
     }
 
+    /// What the lowest priority uses: it makes way for all others.
+    pub fn low(&self) -> Room {
+        self.yields[Rank::Low as usize]
+    }
+
+    /// Room that work of this priority could make: below high priority only the lowest
+    /// makes way.
+    pub fn yielding(&self, rank: Rank) -> Room {
+        let below = match rank {
+            Rank::Low => 0,
+            Rank::Normal => 1,
+            high => high as usize,
+        };
+        let mut all = Room::default();
+        self.yields[..below].iter().for_each(|room| all.add(room, 1.0));
+        all
+    }
+
     pub fn usable(&self) -> bool {
         self.state == MachineState::Ready && !self.quarantined && self.recall_ms.is_none()
     }
@@ -163,6 +182,10 @@
         self.table.iter().map(|(ix, m)| (*ix, m))
     }
 
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
     pub fn indexes(&self) -> Vec<MachineIx> {
         self.table.keys().copied().collect()
     }
@@ -221,7 +244,7 @@
             wait_s: 0.0,
             unproven: Vec::new(),
             used: Room::default(),
-            low: Room::default(),
+            yields: Default::default(),
             idle_since_ms: now,
             outbox: Vec::new(),
             cut: false,
@@ -231,7 +254,7 @@
             calling: false,
             reported: Vec::new(),
             fresh_session: false,
-            images: BTreeMap::new(),
+            images: BTreeSet::new(),
             failures: BTreeSet::new(),
             quarantined: false,
             empty_from_ms: 0,
@@ -574,9 +597,9 @@
         }
         let now = self.now.steady_ms;
         if r.status != TaskStatus::Fetching {
-            let image = &self.jobs.get(job_ix)?.spec.image;
-            if let Some(m) = self.machines.get_mut(ix).filter(|m| !m.images.contains_key(image)) {
-                m.images.insert(image.clone(), now);
+            let image = self.jobs.get(job_ix)?.image;
+            if let Some(m) = self.machines.get_mut(ix) {
+                m.images.insert(image);
             }
         }
         match state {
--- /dev/null
+++ b/crates/scale/src/main.rs
@@ -0,0 +1,108 @@
+//! `qg-scale`: what a controller costs as its fleet grows.
+
+mod load;
+mod site;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use comfy_table::Table;
+
+use load::{Costs, Load, Sim};
+
+#[derive(Parser)]
+#[command(version, about = "What a controller of quartzgate costs as its fleet grows")]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Puts a load on the core alone and tells what each kind of event costs.
+    Core {
+        /// Fleets to try, one after another.
+        #[arg(long, value_delimiter = ',', default_values_t = [500, 1230, 2500, 5000, 10000])]
+        sizes: Vec<u32>,
+        /// A line of JSON for each fleet instead of tables.
+        #[arg(long)]
+        json: bool,
+        #[command(flatten)]
+        load: Load,
+    },
+    /// Writes a site file of the bench with a larger fleet.
+    Multiply {
+        site: PathBuf,
+        /// How many times as many machines, with their arrivals, teams and sockets.
+        #[arg(long, default_value_t = 2.0)]
+        by: f64,
+        /// How many times as many calls a second the state service and the cloud take.
+        #[arg(long, default_value_t = 1.0)]
+        rates: f64,
+        #[arg(long)]
+        out: PathBuf,
+    },
+}
+
+fn show(costs: &Costs) {
+    println!(
+        "{} machines, {} s: {:.3} of a core (busiest second {:.3}), longest event {:.1} ms; \
+         {} accepted, {} refused, {} starts, {} tasks done; start p50 {} ms, p99 {} ms",
+        costs.machines,
+        costs.seconds,
+        costs.mean,
+        costs.peak,
+        costs.longest_event_us as f64 / 1e3,
+        costs.accepted,
+        costs.refused,
+        costs.starts,
+        costs.tasks_done,
+        costs.start_p50_ms,
+        costs.start_p99_ms,
+    );
+    let mut table = Table::new();
+    table.set_header(["event", "times", "mean µs", "p99 µs", "longest µs", "share of a core"]);
+    for k in &costs.kinds {
+        table.add_row([
+            k.kind.to_string(),
+            k.events.to_string(),
+            format!("{:.1}", k.mean_us),
+            k.p99_us.to_string(),
+            k.max_us.to_string(),
+            format!("{:.4}", k.share),
+        ]);
+    }
+    println!("{table}");
+}
+
+fn run(args: Args) -> Result<(), Box<dyn std::error::Error>> {
+    match args.command {
+        Command::Core { sizes, json, load } => {
+            for machines in sizes {
+                let costs = Sim::new(Load { machines, ..load.clone() }).run();
+                match json {
+                    true => println!("{}", serde_json::to_string(&costs)?),
+                    false => show(&costs),
+                }
+            }
+        }
+        Command::Multiply { site, by, rates, out } => {
+            let named = |e| format!("{}: {e}", site.display());
+            let text = std::fs::read_to_string(&site).map_err(|e| named(e.to_string()))?;
+            let more = site::multiply(&text, by, rates).map_err(|e| named(e.to_string()))?;
+            std::fs::write(&out, more).map_err(|e| format!("{}: {e}", out.display()))?;
+        }
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match run(Args::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("qg-scale: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
