--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -19,6 +19,7 @@
 use crate::records::{
     checked_size, decode, encode, inbox_key, job_key, JobRecord, RecordedStatus, INBOX,
 };
+use crate::store::Purpose;
 use crate::{Outcome, Peer, RequestId};
 
 /// Why a well-formed job can never run.
@@ -321,6 +322,7 @@
         if !self.store.writes.take(now, 1.0, 0.0) {
             return self.answer_busy(id);
         }
+        self.store.note(Purpose::Accept, 1);
         let record = self.job_record(spec.clone());
         let (key, job_id) = (job_key(&spec.id), spec.id.clone());
         let rank = spec.rank;
@@ -344,6 +346,7 @@
                 if let Some(share) = self.share_write(ix, 0).filter(|s| s.changes() <= room) {
                     self.store.writes.force(now, share.changes() as f64 - 1.0);
                     first = share.pieces;
+                    self.store.note(Purpose::Deal, share.changes());
                     share.enter(&job_id, 0, &mut guards, &mut apply);
                     if let Some(c) = self.jobs.get_mut(ix).and_then(|j| j.chunks.get_mut(&0)) {
                         (c.dirty, c.busy) = (false, true);
@@ -524,6 +527,7 @@
         if !self.store.writes.take(now, 1.0, 0.0) {
             return self.answer_busy(id);
         }
+        self.store.note(Purpose::Abort, 1);
         let key = job_key(&job.id);
         let mut record = JobRecord {
             status: RecordedStatus::Aborted,
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -32,7 +32,7 @@
 impl Backlog {
     /// Whether so much of this rank and above waits that more need not be dealt yet.
     pub fn full(&self, rank: Rank) -> bool {
-        self.waiting.range(rank..).map(|(_, cpus)| cpus).sum::<f64>() > 2.0 * self.all
+        self.waiting.range(rank..).map(|(_, cpus)| cpus).sum::<f64>() > 0.5 * self.all
     }
 
     fn add(&mut self, rank: Rank, cpus: f64) {
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -8,6 +8,7 @@
 use crate::controller::Controller;
 use crate::jobs::JobState;
 use crate::machines::MachineState;
+use crate::store::Purpose;
 
 impl Controller {
     /// All figures by name, as CBOR.
@@ -66,6 +67,9 @@
         put("ratio_highest", self.ratios.highest());
         put("writes_left", self.store.writes.room(now, 0.0));
         put("reads_left", self.member.reads.room(now, 0.0));
+        for (purpose, name) in Purpose::ALL {
+            put(&format!("writes.{name}"), self.store.spent(purpose) as f64);
+        }
         put("records_behind", self.store.behind() as f64);
         for (constraint, ratio) in self.ratios.named() {
             put(&format!("ratio.{constraint}"), ratio);
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -64,8 +64,39 @@
     }
 }
 
+/// What changes at the state service are for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Purpose {
+    Accept,
+    Abort,
+    /// Machines of tasks that may start once it stands.
+    Deal,
+    /// Ends of tasks.
+    Ends,
+    /// Chunks that are done, folded into their job's record.
+    Fold,
+    /// Ends of jobs.
+    End,
+    /// What has no use any more.
+    Tidy,
+}
+
+impl Purpose {
+    pub const ALL: [(Purpose, &'static str); 7] = [
+        (Purpose::Accept, "accept"),
+        (Purpose::Abort, "abort"),
+        (Purpose::Deal, "deal"),
+        (Purpose::Ends, "ends"),
+        (Purpose::Fold, "fold"),
+        (Purpose::End, "end"),
+        (Purpose::Tidy, "tidy"),
+    ];
+}
+
 pub(crate) struct Store {
     pub writes: Budget,
+    /// Changes made since the process began to lead, by what for.
+    spent: BTreeMap<Purpose, u64>,
     dirty: BTreeSet<(JobIx, u32)>,
     /// Jobs whose own record may have to be written.
     jobs: BTreeSet<JobIx>,
@@ -106,6 +137,7 @@
     pub fn new(limits: &StateLimits) -> Self {
         Store {
             writes: Budget::new(Self::write_rate(limits)),
+            spent: BTreeMap::new(),
             dirty: BTreeSet::new(),
             jobs: BTreeSet::new(),
             inbox: BTreeSet::new(),
@@ -122,6 +154,14 @@
         leader_share(limits.write_rps * 1.15)
     }
 
+    pub fn note(&mut self, purpose: Purpose, changes: usize) {
+        *self.spent.entry(purpose).or_default() += changes as u64;
+    }
+
+    pub fn spent(&self, purpose: Purpose) -> u64 {
+        self.spent.get(&purpose).copied().unwrap_or(0)
+    }
+
     /// Records that memory is ahead of.
     pub fn behind(&self) -> usize {
         self.dirty.len()
@@ -229,6 +269,9 @@
             }
             bytes += share.bytes + 200;
             let pieces = share.pieces;
+            let for_starts = matches!(urgency, Urgency::Pressing(_) | Urgency::Guest);
+            let purpose = if for_starts { Purpose::Deal } else { Purpose::Ends };
+            self.store.note(purpose, share.changes());
             share.enter(&id, chunk, &mut txn.guards, &mut txn.apply);
             if let Some(c) = self.jobs.get_mut(ix).and_then(|j| j.chunks.get_mut(&chunk)) {
                 (c.dirty, c.busy) = (false, true);
@@ -244,6 +287,7 @@
                 break;
             }
             txn.apply.push(Change::Delete { delete: path.clone() });
+            self.store.note(Purpose::Tidy, 1);
             self.store.inbox.remove(&path);
             items.push(FlushItem::Inbox(path));
         }
@@ -344,7 +388,10 @@
             let key = job_key(&job.id);
             txn.guards.push(Guard { path: key.clone(), stamp: job.stamp });
             txn.apply.push(Change::Set { set: key, value: encode(&record), permit: None });
+            let before = txn.apply.len();
             self.gather_shares(ix, &chunks, txn);
+            self.store.note(Purpose::End, 1);
+            self.store.note(Purpose::Tidy, txn.apply.len() - before);
             *bytes += 300 + 200 * chunks.len();
             self.store.jobs.remove(&ix);
             if let Some(j) = self.jobs.get_mut(ix) {
@@ -420,7 +467,9 @@
         let key = job_key(&job.id);
         txn.guards.push(Guard { path: key.clone(), stamp: job.stamp });
         txn.apply.push(Change::Set { set: key, value: encode(&record), permit: None });
+        let before = txn.apply.len() - 1;
         self.gather_shares(ix, &chunks, txn);
+        self.store.note(Purpose::Fold, txn.apply.len() - before);
         if let Some(j) = self.jobs.get_mut(ix) {
             j.busy = true;
         }
--- a/crates/scale/src/load.rs
+++ b/crates/scale/src/load.rs
@@ -130,7 +130,7 @@
     Tick,
     Report(usize),
     Wake(usize),
-    Submit(JobSpec, u64),
+    Submit(Box<JobSpec>, u64),
     Outcome(CallId, usize, Outcome),
     Arrive,
 }
@@ -209,7 +209,7 @@
         let services = sim.load.services * sim.load.machines / 1000;
         for n in 0..services {
             let spec = sim.service();
-            sim.after(2_000 + u64::from(n) * 10_000 / u64::from(services), Next::Submit(spec, 0));
+            sim.after(2_000 + u64::from(n) * 10_000 / u64::from(services), Next::Submit(Box::new(spec), 0));
         }
         sim.after(5_000, Next::Arrive);
         sim
@@ -317,7 +317,7 @@
                 }
                 Next::Report(w) => self.report(w),
                 Next::Wake(w) => self.work(w),
-                Next::Submit(spec, first_ms) => self.submit(spec, first_ms),
+                Next::Submit(spec, first_ms) => self.submit(*spec, first_ms),
                 Next::Outcome(call, kind, outcome) => {
                     self.feed(kind, Event::Outcome { call, outcome })
                 }
@@ -365,7 +365,7 @@
                 _ => {
                     self.counts[2] += 1;
                     let pause = u64::from(response.retry_after_s.unwrap_or(1)) * 1000;
-                    self.after(pause, Next::Submit(spec, first_ms));
+                    self.after(pause, Next::Submit(Box::new(spec), first_ms));
                 }
             }
         } else if let Some(w) = self.asked.remove(&id) {
