Requests are served by class, work is accepted as fast as it can be recorded

Cause: past 2,460 machines the leader's changes at the state service are used up, acceptances took them first, followers recorded what the leader turned away at three times the cost, and requests were worked on in the order of their sockets, long after their askers had gone. New probes walked every job against every machine with room, back to back once machines were free.

Change: crates/overload (classes of work bounded in time, states of load with hysteresis, Retry-After by how many are turned away), reports of workers answered longest ago first, idle workers' connections make way; admission.rs (supply of changes: ample, tight, short); 429 is handed on by followers; 0.95 of the rate for the leader; new probes look by groups and within the budget.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -141,6 +141,12 @@
                 response.retry_after_s = r.retry_after_s;
                 self.answer(id, response);
             }
+            // The leader has no writes left: none is to be had past it either.
+            Outcome::Answer(r) if r.status == 429 => {
+                let mut response = Response::new(429, r.body);
+                response.retry_after_s = r.retry_after_s.or(Some(1));
+                self.answer(id, response);
+            }
             // The sibling could not decide, or was not reached: the records can.
             Outcome::Answer(_) | Outcome::Lost | Outcome::NotSent => {
                 tracing::debug!(sibling, "request passed on was not answered");
@@ -319,8 +325,8 @@
             return;
         }
         let Some(team) = self.cfg.team(&spec.team) else { return self.answer_busy(id) };
-        if !self.store.writes.take(now, 1.0, 0.0) {
-            return self.answer_busy(id);
+        if !self.may_accept(spec.rank) {
+            return self.turn_away(id);
         }
         self.store.note(Purpose::Accept, 1);
         let record = self.job_record(spec.clone());
@@ -338,7 +344,7 @@
         ];
         let mut first = 0;
         // The first deal goes with the acceptance if a write for it is left.
-        if ready && self.store.writes.take(now, 1.0, 0.0) {
+        if ready && self.may_deal_at_once(rank) {
             let full = self.backlog().full(rank);
             if !full && self.deal_job(ix) {
                 // A share that needs more room follows in a write of its own.
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -20,6 +20,10 @@
         self.level = self.level.min(per_s);
     }
 
+    pub fn rate(&self) -> f64 {
+        self.per_s
+    }
+
     fn refill(&mut self, now_ms: u64) {
         let passed = now_ms.saturating_sub(self.at_ms) as f64 / 1000.0;
         self.level = (self.level + passed * self.per_s).min(self.per_s);
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -155,6 +155,11 @@
         self.report_ms().clamp(800, ANSWER_DROP_MS / 2)
     }
 
+    /// How long a worker waits for the answer to its report.
+    pub fn worker_patience_ms(&self) -> u64 {
+        ANSWER_DROP_MS
+    }
+
     /// How long a worker's report may wait for an answer: well within the time
     /// after which the worker looks elsewhere.
     pub fn park_ms(&self) -> u64 {
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -7,6 +7,7 @@
 use quartzgate_wire::to_cbor;
 use rand::rngs::SmallRng;
 
+use crate::admission::Admission;
 use crate::chains::Chains;
 use crate::cloud::Cloud;
 use crate::config::Config;
@@ -25,7 +26,7 @@
 use crate::records::RecordedStatus;
 use crate::restore::Restore;
 use crate::store::{FlushItem, Store};
-use crate::{Action, Call, CallId, Event, Now, Outcome, Peer, RequestId};
+use crate::{Action, Call, CallId, Event, LoadState, Now, Outcome, Peer, RequestId};
 
 /// What a call of ours was for.
 #[derive(Debug)]
@@ -147,6 +148,10 @@
     pub(crate) restore: Restore,
     pub(crate) ratios: Ratios,
     pub(crate) effort: Effort,
+    pub(crate) load: LoadState,
+    /// What the daemon tells of requests that waited.
+    pub(crate) intake: Vec<(String, f64)>,
+    pub(crate) admission: Admission,
     pub(crate) epoch_began_ms: u64,
     pub(crate) attempts: u64,
     pub(crate) arrivals: u64,
@@ -172,6 +177,7 @@
         let teams = vec![TeamUse::default(); cfg.platform.params.teams.len()];
         let store = Store::new(&cfg.platform.params.state);
         let cloud = Cloud::new(&cfg);
+        let admission = Admission::new(Store::write_rate(&cfg.platform.params.state));
         let member = Member::new(&cfg);
         let effort = Effort::new(cfg.platform.params.limits.cpu_share);
         Controller {
@@ -202,6 +208,9 @@
             restore: Restore::default(),
             ratios: Ratios::default(),
             effort,
+            load: LoadState::Normal,
+            intake: Vec::new(),
+            admission,
             epoch_began_ms: 0,
             attempts: 0,
             arrivals: 0,
@@ -233,6 +242,10 @@
             Event::Tick => self.on_tick(),
             Event::Client { id, request } => self.on_client(id, request),
             Event::Mesh { id, request } => self.on_mesh(id, request),
+            Event::Load { state, figures } => {
+                self.effort.fit(state);
+                (self.load, self.intake) = (state, figures);
+            }
             Event::Outcome { call, outcome } => {
                 if let Some(pending) = self.pending.remove(&call) {
                     self.on_outcome(pending, outcome);
@@ -451,6 +464,7 @@
         self.machines = Machines::default();
         self.teams.iter_mut().for_each(|t| *t = TeamUse::default());
         self.store = Store::new(self.limits());
+        self.admission = Admission::new(Store::write_rate(self.limits()));
         self.chains.forget_graph();
         self.cloud = Cloud::new(&self.cfg);
         self.restore = Restore::default();
@@ -514,6 +528,7 @@
         };
         self.member.reads.set_rate(reads);
         self.store.writes.set_rate(Store::write_rate(&limits));
+        self.admission.set_rate(Store::write_rate(&limits));
     }
 }
 
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -20,6 +20,8 @@
 const PROBE_BYTES: f64 = 40.0;
 /// Tasks dealt in one go; the rest follow at the next event.
 const DEAL_AT_ONCE: u32 = 256;
+/// Roomy machines that are looked for: more than a task has probes.
+const ELSEWHERE: usize = 20;
 /// Waiting tasks whose machines are looked at in one go.
 const LOOK_AT_ONCE: u32 = 8 * DEAL_AT_ONCE;
 
@@ -343,6 +345,10 @@
         if jobs.is_empty() {
             return;
         }
+        if !self.effort.left(now) {
+            self.reprobe_due = true;
+            return;
+        }
         // As the queues have it.
         jobs.sort_by(|a, b| {
             let standing = (b.0, a.1).cmp(&(a.0, b.1));
@@ -356,12 +362,12 @@
             let ready = |t: &Task| t.state == TaskState::Waiting && t.not_before_ms <= now;
             let waiting = job.tasks().filter(|(_, t)| ready(t)).take(most);
             let keys: Vec<TaskKey> = waiting.map(|(task, _)| TaskKey { job: ix, task }).collect();
-            let need = job.room();
-            let serves = |(at, spare): &&(MachineIx, Room)| {
-                let m = self.machines.get(*at).filter(|_| spare.fits(&need));
-                m.is_some_and(|m| self.allows(&job.spec, &m.kind, m.zone, m.spot))
-            };
-            let room: Vec<MachineIx> = roomy.iter().filter(serves).map(|(at, _)| *at).collect();
+            if !self.effort.left(now) {
+                self.reprobe_due = true;
+                return;
+            }
+            // One more than a task can have among its own tells of one elsewhere.
+            let room = self.roomy_for(&roomy, ix, ELSEWHERE);
             let mut field: Option<Field> = None;
             for key in keys {
                 if looked >= LOOK_AT_ONCE || moved >= DEAL_AT_ONCE {
@@ -369,6 +375,7 @@
                     return;
                 }
                 looked += 1;
+                self.effort.spend(now, 1);
                 if !self.served(key, &room) {
                     if field.is_none() && !self.effort.left(now) {
                         self.reprobe_due = true;
--- a/crates/core/src/field.rs
+++ b/crates/core/src/field.rs
@@ -7,7 +7,7 @@
 //! takes the time that running work needs.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap};
 
 use ordered_float::OrderedFloat;
 use quartzgate_wire::msg::JobSpec;
@@ -17,6 +17,7 @@
 use crate::controller::Controller;
 use crate::ids::{JobIx, MachineIx};
 use crate::machines::{Machine, Room};
+use crate::LoadState;
 
 /// Machines looked at in a second of a whole core, by rough measure.
 const LOOKS_PER_CORE_S: f64 = 3e6;
@@ -26,11 +27,24 @@
 /// What dealing may look at: machines a second, in proportion to the processor.
 pub(crate) struct Effort {
     looks: Budget,
+    /// Machines a second that a whole share of the processor would allow.
+    whole: f64,
 }
 
 impl Effort {
     pub fn new(cpu_share: f64) -> Self {
-        Effort { looks: Budget::new(cpu_share.max(0.01) * LOOKS_PER_CORE_S * LOOKS_SHARE) }
+        let whole = cpu_share.max(0.01) * LOOKS_PER_CORE_S;
+        Effort { looks: Budget::new(whole * LOOKS_SHARE), whole }
+    }
+
+    /// Under load dealing gets less: reports go first.
+    pub fn fit(&mut self, state: LoadState) {
+        let part = match state {
+            LoadState::Normal => 1.0,
+            LoadState::Pressed => 0.5,
+            LoadState::Shedding => 0.2,
+        };
+        self.looks.set_rate(self.whole * LOOKS_SHARE * part);
     }
 
     /// Whether so many machines may be looked at now. One look at the whole fleet is
@@ -306,16 +320,58 @@
 
     /// Machines that have room now that nobody has spoken for, for a quick look at
     /// whether one could serve.
-    pub(crate) fn roomy_machines(&mut self) -> Vec<(MachineIx, Room)> {
+    pub(crate) fn roomy_machines(&mut self) -> Roomy {
         let now = self.now.steady_ms;
         // Little is looked at of each.
         self.effort.spend(now, self.machines.len() / 4);
         let least = Room { cpus: 1e-3, gpus: 0.0, memory_gb: 0.0 };
-        let usable = self.machines.iter().filter(|(_, m)| m.usable());
-        let roomy = usable.filter_map(|(ix, m)| {
-            let (_, spare) = self.spare_room(m, &self.capacity_of(&m.kind)?, &least);
-            spare.fits(&least).then_some((ix, spare))
-        });
-        roomy.collect()
+        let mut roomy = Roomy::default();
+        for (ix, m) in self.machines.iter().filter(|(_, m)| m.usable()) {
+            let Some(all) = self.capacity_of(&m.kind) else { continue };
+            let (_, spare) = self.spare_room(m, &all, &least);
+            if !spare.fits(&least) {
+                continue;
+            }
+            let group = (m.kind.clone(), m.zone, m.spot);
+            let (most, machines) = roomy.groups.entry(group).or_default();
+            most.cpus = most.cpus.max(spare.cpus);
+            most.gpus = most.gpus.max(spare.gpus);
+            most.memory_gb = most.memory_gb.max(spare.memory_gb);
+            machines.push((ix, spare));
+        }
+        roomy
+    }
+
+    /// The first so many machines with unspoken room that may serve a job.
+    pub(crate) fn roomy_for(&mut self, roomy: &Roomy, ix: JobIx, count: usize) -> Vec<MachineIx> {
+        let Some(job) = self.jobs.get(ix) else { return Vec::new() };
+        let (need, mut looked, mut out) = (job.room(), roomy.groups.len(), Vec::new());
+        for ((kind, zone, spot), (most, machines)) in &roomy.groups {
+            if !most.fits(&need) || !self.allows(&job.spec, kind, *zone, *spot) {
+                continue;
+            }
+            for (at, spare) in machines {
+                looked += 1;
+                if spare.fits(&need) {
+                    out.push(*at);
+                }
+                if out.len() >= count {
+                    break;
+                }
+            }
+        }
+        out.truncate(count);
+        let now = self.now.steady_ms;
+        self.effort.spend(now, looked / 8);
+        out
     }
 }
+
+/// Machines with unspoken room by type, zone and kind, with the most that any of a group has.
+#[derive(Default)]
+pub(crate) struct Roomy {
+    groups: BTreeMap<Group, (Room, Vec<(MachineIx, Room)>)>,
+}
+
+/// Type, zone and kind of a machine.
+type Group = (String, Option<u16>, bool);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! random numbers come from a generator that is passed in, so that every story can
 //! be told again in a test.
 
+mod admission;
 mod api;
 mod blame;
 mod budget;
@@ -36,6 +37,7 @@
 
 pub use controller::Controller;
 
+pub use quartzgate_overload::LoadState;
 use quartzgate_wire::http::{Request, Response};
 
 /// Names a request that came in and waits for its answer.
@@ -60,6 +62,8 @@
     Client { id: RequestId, request: Request },
     /// A request of another controller.
     Mesh { id: RequestId, request: Request },
+    /// How loaded this process is, and its figures of what waited, for operators.
+    Load { state: LoadState, figures: Vec<(String, f64)> },
     /// How one of our calls ended.
     Outcome { call: CallId, outcome: Outcome },
 }
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -24,6 +24,7 @@
         };
         put("epoch", self.epoch() as f64);
         put("leads", f64::from(u8::from(self.leads())));
+        put("load", f64::from(self.load as u8));
         put("in_doubt", f64::from(u8::from(self.in_doubt())));
         put("format_latched", f64::from(u8::from(self.latched())));
         for (node, version) in &self.format.nodes {
@@ -70,11 +71,14 @@
         for (purpose, name) in Purpose::ALL {
             put(&format!("writes.{name}"), self.store.spent(purpose) as f64);
         }
+        put("writes_short", f64::from(u8::from(self.admission.short())));
+        put("turned_away", self.admission.turned.all() as f64);
         put("records_behind", self.store.behind() as f64);
         for (constraint, ratio) in self.ratios.named() {
             put(&format!("ratio.{constraint}"), ratio);
         }
         all.extend(self.latency_figures());
+        all.extend(self.intake.iter().cloned());
         all
     }
 
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -8,7 +8,7 @@
 use quartzgate_wire::{from_cbor, to_cbor};
 
 use crate::budget::Budget;
-use crate::controller::{leader_share, Controller, Pending};
+use crate::controller::{Controller, Pending};
 use crate::deal::OPEN_CHUNKS;
 use crate::ids::{JobIx, TaskKey};
 use crate::jobs::{Chunk, JobState, TaskState};
@@ -113,6 +113,9 @@
     singly: usize,
 }
 
+/// Share of the state service's changes that one controller may make: others make few
+/// while one leads, and what goes beyond is refused and tried again.
+const WRITE_SHARE: f64 = 0.95;
 /// Share of a second's writes that what only tidies up leaves to all else.
 const UNHURRIED: f64 = 0.6;
 /// Chunks that are folded in one write, if there are so many.
@@ -151,7 +154,7 @@
 
     /// Changes a second that this controller may make.
     pub fn write_rate(limits: &StateLimits) -> f64 {
-        leader_share(limits.write_rps * 1.15)
+        limits.write_rps * WRITE_SHARE
     }
 
     pub fn note(&mut self, purpose: Purpose, changes: usize) {
@@ -214,7 +217,8 @@
         let most = self.limits().txn_ops;
         let room = (self.store.writes.room(now, 0.4) as usize).min(most);
         if room == 0 {
-            return;
+            let left = self.store.dirty.iter().any(|k| self.starved(*k));
+            return self.weigh_supply(left);
         }
         let mut txn = Transaction::default();
         txn.guards.push(Guard { path: VIEW.into(), stamp: self.member.view_stamp });
@@ -224,10 +228,13 @@
         let mut dirty: Vec<(Urgency, JobIx, u32)> =
             self.store.dirty.iter().map(|(ix, c)| (self.urgency(*ix, *c), *ix, *c)).collect();
         dirty.sort();
+        let mut left_behind = false;
         for (urgency, ix, chunk) in dirty {
             let left = self.store.writes.room(now, urgency.reserve()) as usize;
             let enough = self.store.singly > 0 && !items.is_empty();
             if enough || txn.apply.len() >= room.min(left) || bytes > TXN_BYTES {
+                // A full transaction is followed by the next at once.
+                left_behind = room < most && self.starved((ix, chunk));
                 break;
             }
             let Some(job) = self.jobs.get(ix) else {
@@ -279,6 +286,7 @@
             self.store.dirty.remove(&(ix, chunk));
             items.push(FlushItem::Chunk { job: ix, chunk, pieces });
         }
+        self.weigh_supply(left_behind);
         let inbox: Vec<String> = self.store.inbox.iter().cloned().collect();
         for path in inbox {
             let enough = self.store.singly > 0 && !items.is_empty();
@@ -310,6 +318,11 @@
         self.jobs.get(job).and_then(|j| j.chunks.get(&chunk)).is_some_and(|c| c.pressing)
     }
 
+    /// The same, of a job that is not to use what is spare only.
+    fn starved(&self, (job, chunk): (JobIx, u32)) -> bool {
+        self.pressing((job, chunk)) && self.jobs.get(job).is_some_and(|j| !self.guest(j))
+    }
+
     /// How soon a chunk's record should be written.
     fn urgency(&self, job: JobIx, chunk: u32) -> Urgency {
         let Some(j) = self.jobs.get(job) else { return Urgency::Patient };
--- a/crates/core/tests/stories/main.rs
+++ b/crates/core/tests/stories/main.rs
@@ -990,3 +990,67 @@
         w.keep_rules();
     }
 }
+
+/// Sends submissions of small jobs to a node, so many in each tenth of a second.
+fn flood(w: &mut World, node: usize, first: u32, tenths: u32, each: u32) -> Vec<(usize, String)> {
+    let mut asks = Vec::new();
+    for n in 0..tenths * each {
+        let id = format!("wk-{:06}", first + n);
+        w.run_ms.insert(id.clone(), 300);
+        asks.push((w.submit(node, &job(&id, Shape::Array, 1)), id));
+        if n % each == each - 1 {
+            w.run(100);
+        }
+    }
+    w.run(500);
+    asks
+}
+
+/// Guards what is accepted against acceptances: with more work coming than can be recorded,
+/// accepted jobs are still started and done, urgent work is taken at once, whoever is turned
+/// away is told at once when to come back, and after the flood all is as before.
+#[test]
+fn a_flood_of_submissions_does_not_starve_what_was_accepted() {
+    let mut w = World::new(3, 12, 0.0, 41);
+    w.state.limits = Some((usize::MAX, 12, 40.0));
+    w.run(2_500);
+    let leader = w.leader().unwrap();
+    // Three times as many as the state service takes changes.
+    let first = flood(&mut w, leader, 1, 40, 12);
+    let service = w.submit(leader, &job("wk-900000", Shape::Service, 2));
+    let more = flood(&mut w, leader, 1_000, 20, 12);
+    assert_eq!(w.figures(leader)["writes_short"], 1.0);
+    assert_eq!(w.status(service), 201, "urgent work is taken as it comes");
+    let asks: Vec<_> = first.into_iter().chain(more).collect();
+    let of = |w: &World, status| asks.iter().filter(|(a, _)| w.status(*a) == status).count();
+    let (accepted, away) = (of(&w, 201), of(&w, 429));
+    assert_eq!(accepted + away, asks.len(), "everybody is answered at once");
+    let later = |a: usize| w.asks[a].answer.as_ref().and_then(|r| r.retry_after_s);
+    let told: Vec<u32> = asks.iter().filter_map(|(a, _)| later(*a)).collect();
+    assert_eq!(told.len(), away);
+    assert!(told.iter().max() >= Some(&4) && told.iter().min() == Some(&1), "not spread");
+    let done = w.done.values().filter(|d| !d.is_empty()).count();
+    assert!(done * 3 > accepted, "{done} of {accepted} accepted jobs are done");
+    w.run(6_000);
+    assert_eq!(w.figures(leader)["writes_short"], 0.0, "back to normal by itself");
+    for (_, id) in asks.iter().filter(|(a, _)| w.status(*a) == 201).take(20) {
+        assert!(w.done.get(id).is_some_and(|d| d.len() == 1), "{id} was left behind");
+    }
+    w.keep_rules();
+}
+
+/// Guards the state service's changes: what the leader turns away for lack of them, a
+/// follower does not record past it at three times the cost.
+#[test]
+fn a_follower_hands_on_what_the_leader_turns_away() {
+    let mut w = World::new(3, 12, 0.0, 42);
+    w.state.limits = Some((usize::MAX, 12, 40.0));
+    w.run(2_500);
+    let follower = (w.leader().unwrap() + 1) % 3;
+    let asks = flood(&mut w, follower, 1, 50, 12);
+    let away = asks.iter().filter(|(a, _)| w.status(*a) == 429).count();
+    assert!(away > 100, "{away} were turned away");
+    let past = w.state.journal.iter().filter(|(key, _)| key.starts_with("inbox/")).count();
+    assert_eq!(past, 0, "recorded past a leader that had no changes left");
+    w.keep_rules();
+}
--- a/crates/quartzgate/src/conn.rs
+++ b/crates/quartzgate/src/conn.rs
@@ -36,6 +36,8 @@
     pub active_ms: u64,
     /// When the present call or request must be over.
     pub deadline_ms: u64,
+    /// Inbound: when a request on it was last answered with 200.
+    pub answered_ms: u64,
     /// A worker reports here: such connections are not closed for being idle first.
     pub worker: bool,
     /// The peer wants the connection closed after this exchange.
@@ -60,6 +62,7 @@
             written: 0,
             active_ms: now_ms,
             deadline_ms: u64::MAX,
+            answered_ms: 0,
             worker: false,
             close: false,
             used: false,
@@ -74,6 +77,14 @@
         self.deadline_ms = deadline_ms;
     }
 
+    /// Inbound, and nothing has come or is to go.
+    pub fn idle_inbound(&self) -> bool {
+        matches!(self.side, Side::Inbound { mesh: false })
+            && self.state == State::Reading
+            && self.inbuf.is_empty()
+            && self.outbuf.is_empty()
+    }
+
     /// Reads what there is; false if the connection is broken.
     pub fn read(&mut self, scratch: &mut [u8], limit: usize) -> bool {
         loop {
--- a/crates/quartzgate/src/daemon.rs
+++ b/crates/quartzgate/src/daemon.rs
@@ -9,7 +9,8 @@
 use mio::{Events, Interest, Poll, Token};
 use quartzgate_core::config::Config;
 use quartzgate_core::{Action, Call, CallId, Controller, Event, Now, Outcome, Peer, RequestId};
-use quartzgate_wire::http::{self, HttpError, Response};
+use quartzgate_overload::{Class, Intake, Load, Next, Turned};
+use quartzgate_wire::http::{self, HttpError, Request, Response};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use slab::Slab;
@@ -36,6 +37,14 @@
 /// Calls that wait for a free connection, over all peers.
 const QUEUE_MOST: usize = 2_000;
 
+/// Longest time for which waiting requests are served before the sockets are looked at
+/// again, so that what is more urgent overtakes them.
+const SLICE_MS: u64 = 25;
+/// How often the core is told what waited, for its figures.
+const FIGURES_MS: u64 = 1_000;
+/// Idle connections that are looked for in one go when the table is full.
+const SPARE_AT_ONCE: usize = 64;
+
 /// Shares of the socket limit: users and workers may hold so much, calls the rest.
 const INBOUND_SHARE: f64 = 0.6;
 const OUTBOUND_SHARE: f64 = 0.35;
@@ -45,6 +54,13 @@
     deadline_ms: u64,
 }
 
+/// A request that waits to be looked at.
+struct Asked {
+    id: RequestId,
+    mesh: bool,
+    request: Request,
+}
+
 /// What is needed to send a call once more on a new connection.
 struct UnderWay {
     peer: Peer,
@@ -73,6 +89,18 @@
     /// What is to be done, and when that was decided.
     actions: VecDeque<(u64, Action)>,
     events: VecDeque<Event>,
+    intake: Intake<Asked>,
+    load: Load,
+    turned: Turned,
+    /// Requests of users that were looked at in the second before this one, and in this.
+    pace: (f64, u32),
+    figures_ms: u64,
+    rng: SmallRng,
+    /// Since when what is read now may have lain in the sockets.
+    came_ms: u64,
+    report_ms: u64,
+    /// Idle inbound connections, and when they had last moved, that may make way.
+    spare: VecDeque<(usize, u64)>,
     inbound: usize,
     outbound: usize,
     inbound_most: usize,
@@ -112,6 +140,15 @@
             clients,
             mesh,
             conns: Slab::new(),
+            intake: Intake::new(sockets as usize),
+            load: Load::new(config.worker_patience_ms()),
+            turned: Turned::default(),
+            pace: (0.0, 0),
+            figures_ms: 0,
+            rng: SmallRng::from_os_rng(),
+            came_ms: 0,
+            report_ms: config.report_ms(),
+            spare: VecDeque::new(),
             core: Controller::new(config, SmallRng::from_os_rng()),
             started: Instant::now(),
             state,
@@ -162,14 +199,18 @@
                     self.expire(now);
                 }
                 self.feed(Event::Tick);
+                self.watch_load(now);
             }
-            let wait = if away { 0 } else { tick_ms.saturating_sub(self.now_ms()).max(1) };
+            let busy = away || !self.intake.is_empty();
+            let before = self.now_ms();
+            let wait = if busy { 0 } else { tick_ms.saturating_sub(before).max(1) };
             if let Err(e) = self.poll.poll(&mut events, Some(Duration::from_millis(wait))) {
                 if e.kind() != io::ErrorKind::Interrupted {
                     return Err(e);
                 }
             }
             looked_ms = self.now_ms();
+            self.came_ms = if busy { before } else { looked_ms };
             for event in &events {
                 match event.token() {
                     CLIENTS => self.accept(false),
@@ -178,9 +219,73 @@
                 }
                 self.settle();
             }
+            self.serve_waiting();
+        }
+    }
+
+    /// Looks at requests that wait, the most urgent first, for a slice of time.
+    fn serve_waiting(&mut self) {
+        let mut now = self.now_ms();
+        let until = now + SLICE_MS;
+        while now < until {
+            match self.intake.next(now) {
+                None => return,
+                Some(Next::Refuse(class, asked)) => {
+                    self.refuse_busy(class, asked.id);
+                    self.settle();
+                }
+                Some(Next::Serve(class, asked, waited_ms)) => {
+                    match class {
+                        Class::Report => self.load.note_report(waited_ms),
+                        Class::Health | Class::Other => {}
+                        _ => self.pace.1 += 1,
+                    }
+                    let Asked { id, mesh, request } = asked;
+                    // Its asker may have gone meanwhile.
+                    if self.requests.contains_key(&id) {
+                        self.feed(match mesh {
+                            true => Event::Mesh { id, request },
+                            false => Event::Client { id, request },
+                        });
+                    }
+                }
+            }
+            now = self.now_ms();
         }
     }
 
+    /// Refuses a request that was not looked at, and says when to come back.
+    fn refuse_busy(&mut self, class: Class, id: RequestId) {
+        let now = self.now_ms();
+        let mut response = Response::new(503, Vec::new());
+        response.retry_after_s = Some(match class {
+            Class::Report | Class::Health => 1,
+            _ => self.turned.turn(now, self.pace.0, &mut self.rng),
+        });
+        self.actions.push_back((now, Action::Answer { id, response }));
+    }
+
+    /// Follows how loaded this process is, and tells the core.
+    fn watch_load(&mut self, now: u64) {
+        let oldest_ms = self.intake.oldest_ms(now);
+        let changed = self.load.tick(now, oldest_ms);
+        if let Some((old, new)) = changed {
+            let waiting = self.intake.len();
+            tracing::info!(from = old.name(), to = new.name(), waiting, oldest_ms, "load");
+        }
+        if now >= self.figures_ms {
+            self.figures_ms = now + FIGURES_MS;
+            self.pace = (f64::from(std::mem::take(&mut self.pace.1)).max(1.0), 0);
+        } else if changed.is_none() {
+            return;
+        }
+        let mut figures = self.intake.figures();
+        figures.push(("sockets_inbound".into(), self.inbound as f64));
+        figures.push(("sockets_outbound".into(), self.outbound as f64));
+        figures.push(("intake_turned_away".into(), self.turned.all() as f64));
+        self.feed(Event::Load { state: self.load.state(), figures });
+    }
+
     /// Gives the core an event and carries out all that follows.
     fn feed(&mut self, event: Event) {
         self.events.push_back(event);
@@ -214,14 +319,14 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(_) => {
-                    // Out of sockets: an idle user makes room, or we try at the next event.
-                    if !self.close_idle_user() {
+                    // Out of sockets: who is idle makes room, or we try at the next event.
+                    if !self.make_way() {
                         return;
                     }
                     continue;
                 }
             };
-            if !mesh && self.inbound >= self.inbound_most && !self.close_idle_user() {
+            if !mesh && self.inbound >= self.inbound_most && !self.make_way() {
                 continue;
             }
             let now = self.now_ms();
@@ -237,27 +342,33 @@
         }
     }
 
-    /// Closes the user's connection that has been idle longest.
-    fn close_idle_user(&mut self) -> bool {
-        let oldest = self
-            .conns
-            .iter()
-            .filter(|(_, c)| {
-                matches!(c.side, Side::Inbound { mesh: false })
-                    && c.state == State::Reading
-                    && !c.worker
-                    && c.inbuf.is_empty()
-                    && c.outbuf.is_empty()
-            })
-            .min_by_key(|(_, c)| c.active_ms)
-            .map(|(n, _)| n);
-        match oldest {
-            Some(n) => {
+    /// Closes the inbound connection that can best be spared: a user's that has been idle
+    /// longest, else an idle worker's, whose next report makes a new one. A table full of
+    /// connections that nobody uses thus never shuts out a report.
+    fn make_way(&mut self) -> bool {
+        if self.spare.is_empty() {
+            self.find_spare();
+        }
+        while let Some((n, active_ms)) = self.spare.pop_front() {
+            if self.conns.get(n).is_some_and(|c| c.idle_inbound() && c.active_ms == active_ms) {
                 self.close(n);
-                true
+                return true;
             }
-            None => false,
         }
+        false
+    }
+
+    /// Looks for idle inbound connections: users' first, each kind longest idle first.
+    fn find_spare(&mut self) {
+        let idle = self.conns.iter().filter(|(_, c)| c.idle_inbound());
+        let mut found: Vec<(bool, u64, usize)> =
+            idle.map(|(n, c)| (c.worker, c.active_ms, n)).collect();
+        if found.len() > SPARE_AT_ONCE {
+            found.select_nth_unstable(SPARE_AT_ONCE - 1);
+            found.truncate(SPARE_AT_ONCE);
+        }
+        found.sort_unstable();
+        self.spare = found.into_iter().map(|(_, active_ms, n)| (n, active_ms)).collect();
     }
 
     fn on_ready(&mut self, n: usize, writable: bool, readable: bool) {
@@ -334,17 +445,24 @@
             Ok(Some((request, taken))) => {
                 conn.consume(taken);
                 conn.close = request.close;
-                conn.worker |= request.target.starts_with("/checkin");
                 let id = self.next_request;
                 self.next_request += 1;
                 conn.to(State::Deciding(id), now, now + STALL_MS);
                 let mesh = matches!(conn.side, Side::Inbound { mesh: true });
+                let class = class_of(&request, mesh);
+                let came_ms = self.came_ms;
+                // Workers that were answered longest ago go first: their leases are shortest.
+                let standing = match (class, mesh) {
+                    (Class::Report, false) => conn.answered_ms,
+                    (Class::Report, true) => came_ms.saturating_sub(self.report_ms),
+                    _ => 0,
+                };
+                conn.worker |= class == Class::Report;
                 self.requests.insert(id, n);
-                self.events.push_back(if mesh {
-                    Event::Mesh { id, request }
-                } else {
-                    Event::Client { id, request }
-                });
+                let asked = Asked { id, mesh, request };
+                if self.intake.push(class, standing, came_ms, asked, self.load.state()).is_some() {
+                    self.refuse_busy(class, id);
+                }
             }
             Err(e) => self.refuse(n, e),
         }
@@ -373,6 +491,9 @@
             return;
         }
         response.close = conn.close;
+        if response.status == 200 {
+            conn.answered_ms = now;
+        }
         http::write_response(&mut conn.outbuf, &response);
         conn.to(State::Reading, now, now + STALL_MS);
         if !conn.write() {
@@ -670,6 +791,28 @@
     }
 }
 
+/// The class of work that a request is.
+fn class_of(request: &Request, mesh: bool) -> Class {
+    let path = request.target.split('?').next().unwrap_or("");
+    let holds = |text: &str| memchr::memmem::find(&request.body, text.as_bytes()).is_some();
+    match (request.method.as_str(), path) {
+        // Of what siblings pass on, users' requests have their own place.
+        ("POST", "/mesh") if mesh && holds("/checkin") => Class::Report,
+        ("POST", "/mesh") if mesh && holds("/api/jobs") => match () {
+            () if holds("/abort") => Class::Abort,
+            () if holds("/api/jobs/") => Class::Poll,
+            () => Class::Submit,
+        },
+        ("POST", "/mesh") if mesh => Class::Report,
+        ("POST", "/checkin") => Class::Report,
+        ("GET", "/ready") => Class::Health,
+        ("POST", "/api/jobs") => Class::Submit,
+        ("POST", path) if path.ends_with("/abort") => Class::Abort,
+        ("GET", path) if path.starts_with("/api/jobs/") => Class::Poll,
+        _ => Class::Other,
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use std::io::{Read, Write};
@@ -754,4 +897,49 @@
             }
         }
     }
+
+    /// Guards workers' reports when the table of connections is full of others that are
+    /// idle: whoever is idle makes way, and every report is answered.
+    #[test]
+    fn a_full_table_shuts_out_no_report() {
+        let mut daemon = Daemon::new(config(12)).unwrap();
+        let (addr, most) = (daemon.clients.local_addr().unwrap(), daemon.inbound_most);
+        let mut events = Events::with_capacity(64);
+        let mut open = Vec::new();
+        for n in 0..3 * most {
+            let mut worker = std::net::TcpStream::connect(addr).unwrap();
+            let request = b"POST /checkin HTTP/1.1\r\nContent-Length: 1\r\n\r\n\xa0";
+            worker.write_all(request).unwrap();
+            worker.set_nonblocking(true).unwrap();
+            let mut answer = [0; 512];
+            let mut got = 0;
+            for _ in 0..200 {
+                daemon.poll.poll(&mut events, Some(Duration::from_millis(100))).unwrap();
+                daemon.came_ms = daemon.now_ms();
+                for event in &events {
+                    match event.token() {
+                        CLIENTS => daemon.accept(false),
+                        MESH => daemon.accept(true),
+                        Token(n) => {
+                            daemon.on_ready(n - FIRST, event.is_writable(), event.is_readable())
+                        }
+                    }
+                    daemon.settle();
+                }
+                daemon.serve_waiting();
+                match worker.read(&mut answer) {
+                    Ok(len) => {
+                        got = len;
+                        break;
+                    }
+                    Err(e) => assert_eq!(e.kind(), io::ErrorKind::WouldBlock),
+                }
+            }
+            // An empty map is no report: refused, but looked at.
+            let answer = String::from_utf8_lossy(&answer[..got]).to_string();
+            assert!(answer.starts_with("HTTP/1.1 400"), "worker {n} got {answer:?}");
+            assert!(daemon.inbound <= most);
+            open.push(worker);
+        }
+    }
 }
--- a/crates/scale/src/load.rs
+++ b/crates/scale/src/load.rs
@@ -209,7 +209,10 @@
         let services = sim.load.services * sim.load.machines / 1000;
         for n in 0..services {
             let spec = sim.service();
-            sim.after(2_000 + u64::from(n) * 10_000 / u64::from(services), Next::Submit(Box::new(spec), 0));
+            sim.after(
+                2_000 + u64::from(n) * 10_000 / u64::from(services),
+                Next::Submit(Box::new(spec), 0),
+            );
         }
         sim.after(5_000, Next::Arrive);
         sim
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,6 +1,7 @@
 //! `qg-scale`: what a controller costs as its fleet grows.
 
 mod load;
+mod plot;
 mod site;
 
 use std::path::PathBuf;
@@ -43,6 +44,13 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// Draws what is kept as the fleet grows, from lines of `machines,aim,version,kept`.
+    Plot {
+        table: PathBuf,
+        /// The picture (SVG).
+        #[arg(long)]
+        out: PathBuf,
+    },
 }
 
 fn show(costs: &Costs) {
@@ -87,6 +95,11 @@
                 }
             }
         }
+        Command::Plot { table, out } => {
+            let named = |e: String| format!("{}: {e}", table.display());
+            let text = std::fs::read_to_string(&table).map_err(|e| named(e.to_string()))?;
+            plot::plot(&text, &out).map_err(|e| named(e.to_string()))?;
+        }
         Command::Multiply { site, by, rates, out } => {
             let named = |e| format!("{}: {e}", site.display());
             let text = std::fs::read_to_string(&site).map_err(|e| named(e.to_string()))?;
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -191,8 +191,10 @@
         413 => "Content Too Large",
         421 => "Misdirected Request",
         422 => "Unprocessable Content",
+        429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         503 => "Service Unavailable",
+        504 => "Gateway Timeout",
         _ => "Status",
     }
 }
