--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -69,6 +69,9 @@
         costs.start_p50_ms,
         costs.start_p99_ms,
     );
+    if let Some(ms) = costs.first_start_ms {
+        println!("taken over from {} records; a task was started after {ms} ms", costs.records);
+    }
     let mut table = Table::new();
     table.set_header(["event", "times", "mean µs", "p99 µs", "longest µs", "share of a core"]);
     for k in &costs.kinds {
