A ladder of formats and features; a step needs every controller's word in its present life

Need: the operators' wish for rolling out a change of the stored state, with new behaviour on only when all have it. format.rs knew one latch, as five functions and a match; a controller put back after it had left its word was not noticed, and the step was taken over its head.

Ruled out: deciding by who lives (whoever comes back old can't read what stands); lasting words alone (as it was); the version in siblings' messages (the first version's have no field for it).

Change: crates/ladder has one table of versions and features, what stands, what may come next and what holds it back, by controller, reason and time. A word counts for the life in which it was left (the stamp of the key on the controller's lease); a step is one write guarded by the view, by what stood, and by each controller's life. Whoever lives counts, named or not. Steps are withheld by name (`withhold`). A controller that does not know what stands decides nothing by the records. The key on the lease is written again when its write was lost: without it there is no life to speak for. The stories' figures() no longer swallows calls that the core made with the answer.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -4,6 +4,7 @@
 //! A state that can still change is told only after a fresh read of the state
 //! service; an end never changes and may be told from memory.
 
+use quartzgate_ladder::Feature;
 use quartzgate_wire::http::{Request, Response};
 use quartzgate_wire::msg::{
     valid_job_id, Change, Forward, Guard, JobAnswer, JobSpec, JobStatus, MachineTypes, Pair, Shape,
@@ -91,8 +92,8 @@
             return self.answer_final(id, work.id(), status);
         }
         // Nothing that the first version would not understand before it is gone.
-        if matches!(&work, UserWork::Submit(s, _) if !s.dependencies.is_empty()) && !self.latched()
-        {
+        let chained = matches!(&work, UserWork::Submit(s, _) if !s.dependencies.is_empty());
+        if chained && !self.has(Feature::Chains) {
             return self.answer_busy(id);
         }
         if self.leads() {
@@ -164,6 +165,10 @@
             }
             return self.answer_busy(id);
         }
+        // A later version's records are not for us to read, nor to write beside.
+        if !self.knows_format() {
+            return self.answer_busy(id);
+        }
         match work {
             UserWork::Submit(spec, _) => self.consider(id, *spec),
             UserWork::Poll(job) => self.poll(id, job),
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,6 +1,9 @@
 //! All figures that the core goes by: the platform's, the operators', and what
 //! follows from them. Lengths of time are ratios to the platform's figures.
 
+use std::collections::BTreeSet;
+
+use quartzgate_ladder::{Table, TABLE};
 use quartzgate_wire::settings::{Platform, SettingsError, StateLimits};
 use serde::Deserialize;
 
@@ -24,9 +27,11 @@
     /// Ordinary room kept free for production starts, as a share of what
     /// production uses.
     pub warm_share: f64,
-    /// Whether this controller agrees to the newest format of the records. Once all do,
-    /// the version before can't be put back.
+    /// Whether this controller agrees to format 2 of the records, and so to any later one.
+    /// Once all do, the version before can't be put back.
     pub new_format: bool,
+    /// Names of steps, formats or features, that this controller does not agree to.
+    pub withhold: Vec<String>,
 }
 
 impl Default for Operator {
@@ -40,6 +45,7 @@
             idle_ratio: 0.5,
             warm_share: 0.1,
             new_format: true,
+            withhold: Vec::new(),
         }
     }
 }
@@ -61,7 +67,18 @@
         range("wait_threshold_s", self.wait_threshold_s, 0.0, 1e6)?;
         range("slack_cap", self.slack_cap as f64, 0.0, 1e6)?;
         range("idle_ratio", self.idle_ratio, 0.0, 1e4)?;
-        range("warm_share", self.warm_share, 0.0, 10.0)
+        range("warm_share", self.warm_share, 0.0, 10.0)?;
+        TABLE.check_steps(&self.withhold).map_err(|unknown| SettingsError {
+            field: "withhold".into(),
+            problem: unknown.to_string(),
+        })
+    }
+
+    /// Steps that this controller does not agree to.
+    pub fn withheld(&self) -> BTreeSet<String> {
+        let first = TABLE.versions.first().filter(|_| !self.new_format);
+        let named = self.withhold.iter().cloned();
+        named.chain(first.map(|v| v.name.to_string())).collect()
     }
 }
 
@@ -71,6 +88,8 @@
     pub operator: Operator,
     /// What fits the state service's limits now and later.
     pub lowest: StateLimits,
+    /// The formats and features that this build knows.
+    pub table: &'static Table,
 }
 
 /// Time after which a worker drops an answer to its report (PROTOCOL).
@@ -85,7 +104,7 @@
 impl Config {
     pub fn new(platform: Platform, operator: Operator) -> Self {
         let lowest = platform.params.state.lowest();
-        Config { platform, operator, lowest }
+        Config { platform, operator, lowest, table: &TABLE }
     }
 
     pub fn report_ms(&self) -> u64 {
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
+use quartzgate_ladder::StandingRecord;
 use quartzgate_wire::http::Response;
 use quartzgate_wire::msg::{ErrorAnswer, JobSpec, MachineType, Report};
 use quartzgate_wire::to_cbor;
@@ -59,7 +60,8 @@
     ChainRead { job: String, epoch: u64 },
     WalkRead { request: RequestId, job: String },
     FormatRead,
-    Latch { epoch: u64 },
+    MembersRead,
+    Step { record: StandingRecord, epoch: u64 },
     Poll { request: RequestId, id: String },
     Compare { compared: Compared, epoch: u64 },
     Forward { request: RequestId, sibling: usize, work: Box<UserWork> },
@@ -179,6 +181,7 @@
         let cloud = Cloud::new(&cfg);
         let admission = Admission::new(Store::write_rate(&cfg.platform.params.state));
         let member = Member::new(&cfg);
+        let format = Format::new(&cfg);
         let effort = Effort::new(cfg.platform.params.limits.cpu_share);
         Controller {
             cfg,
@@ -190,7 +193,7 @@
             member,
             finals: Finals::default(),
             chains: Chains::default(),
-            format: Format::default(),
+            format,
             latencies: Latencies::new(),
             keeper: Keeper::new(),
             polls: Polls::default(),
@@ -350,6 +353,10 @@
             }
             Pending::WalkRead { request, job } => self.on_walk_read(request, job, outcome),
             Pending::FormatRead => self.on_format_read(outcome),
+            Pending::MembersRead => self.on_members_read(outcome),
+            Pending::Step { record, epoch } => {
+                self.on_step((epoch == current).then_some(record), outcome)
+            }
             Pending::Compare { compared, epoch } => self.on_compare(compared, epoch, outcome),
             Pending::Poll { request, id } => self.on_poll_read(request, id, outcome),
             Pending::Forward { request, sibling, work } => {
@@ -378,7 +385,6 @@
             | Pending::InboxRead { epoch, .. }
             | Pending::ReadAgain { epoch, .. }
             | Pending::ChainRead { epoch, .. }
-            | Pending::Latch { epoch }
             | Pending::Inspect { epoch, .. }
             | Pending::Flush { epoch, .. }
             | Pending::Restamp { epoch, .. }
@@ -389,7 +395,6 @@
             Pending::Restore { .. } => self.on_restore(outcome),
             Pending::InboxWatch { sent_ms, .. } => self.on_inbox_watch(sent_ms, outcome),
             Pending::ChainRead { job, .. } => self.on_chain_read(job, outcome),
-            Pending::Latch { .. } => self.on_latch(outcome),
             Pending::ReadAgain { job, .. } => self.on_read_again(job, outcome),
             Pending::InboxRead { job, .. } => self.on_inbox_read(job, outcome),
             Pending::Orders { machine, token, starts } => {
--- a/crates/core/src/format.rs
+++ b/crates/core/src/format.rs
@@ -1,64 +1,59 @@
-//! Which format the records have, and how a new one comes in while an older version
-//! still serves.
-//!
-//! A controller of this version leaves a lasting key that says what it can do; one of the
-//! first version never touches it. Once every controller named in the settings has left
-//! one, the leader sets `format`, guarded by its view and by there being none yet. That
-//! is the latch: it is never taken back. Until it is known to stand, everything is
-//! written and said as the first version does it.
+//! Which formats and features are on, and how a new one comes in while older versions
+//! still serve: the ladder's keys at the state service. What may be switched on, and what
+//! holds it back, is decided in `quartzgate-ladder`.
 
 use std::collections::BTreeMap;
 
-use quartzgate_wire::msg::{Change, Guard, Pair, PairList, Transaction};
+use enumset::EnumSet;
+use quartzgate_ladder::{Due, Feature, Ladder, NodeRecord, StandingRecord, Stands, StillThere};
+use quartzgate_wire::msg::{Change, Guard, Pair, PairList, Transaction, TransactionAnswer};
 use quartzgate_wire::settings::StateLimits;
 use quartzgate_wire::{from_cbor, to_cbor};
 
+use crate::config::Config;
 use crate::controller::{Controller, Pending};
-use crate::records::{decode, encode, FormatRecord, FORMAT, FORMAT_NODES, FORMAT_VERSION, VIEW};
+use crate::records::{decode, encode, member_key, FORMAT, FORMAT_NODES, MEMBERS, VIEW};
 use crate::Outcome;
 
-/// What is known of the format that stands.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum Latch {
-    /// Not read yet.
-    #[default]
-    Unknown,
-    /// The last read showed none: the first format stands, as far as is known.
-    Open,
-    /// Format 2 stands, for ever.
-    Latched,
-    /// A later version has set a format that this one does not know.
-    Foreign,
-}
-
-#[derive(Default)]
 pub(crate) struct Format {
-    pub latch: Latch,
-    /// Newest format that each controller can do, as last read.
-    pub nodes: BTreeMap<String, u32>,
+    pub ladder: Ladder,
+    /// What is known to be on.
+    on: EnumSet<Feature>,
     asking: bool,
     due_ms: u64,
 }
 
+impl Format {
+    pub fn new(cfg: &Config) -> Self {
+        let ladder = Ladder::new(cfg.table, cfg.operator.withheld());
+        Format { ladder, on: EnumSet::empty(), asking: false, due_ms: 0 }
+    }
+}
+
 fn node_key(node: &str) -> String {
     format!("{FORMAT_NODES}{node}")
 }
 
 impl Controller {
-    /// Format 2 is known to stand.
-    pub(crate) fn latched(&self) -> bool {
-        self.format.latch == Latch::Latched
+    /// A feature is known to be on.
+    pub(crate) fn has(&self, feature: Feature) -> bool {
+        self.format.on.contains(feature)
     }
 
     /// A later version's records are nothing to meddle with.
     pub(crate) fn foreign_format(&self) -> bool {
-        self.format.latch == Latch::Foreign
+        self.format.ladder.foreign()
     }
 
-    /// Limits of the state service to keep to: from the latch on, those to come as well,
+    /// It is known what the records mean.
+    pub(crate) fn knows_format(&self) -> bool {
+        matches!(self.format.ladder.stands(), Stands::At(_))
+    }
+
+    /// Limits of the state service to keep to: those to come as well once that is agreed,
     /// since they change without notice.
     pub(crate) fn limits(&self) -> &StateLimits {
-        match self.latched() {
+        match self.has(Feature::LowLimits) {
             true => &self.cfg.lowest,
             false => &self.cfg.platform.params.state,
         }
@@ -69,32 +64,36 @@
         (self.limits().value_kb * 1024.0) as usize
     }
 
-    /// The one function that changes what is known of the format.
-    fn latch_to(&mut self, latch: Latch) {
-        let old = self.format.latch;
-        // What stands stands for ever; a read that is older shows less.
-        if old == latch || matches!(old, Latch::Latched | Latch::Foreign) {
+    /// Takes in what is known to stand now.
+    fn stands(&mut self, stands: Stands, stamp: u64) {
+        if !self.format.ladder.stands_to(stands, stamp) {
             return;
         }
-        self.format.latch = latch;
-        match latch {
-            Latch::Latched => {
-                tracing::info!(format = FORMAT_VERSION, "format latched: all controllers are new");
-                self.fit_budgets();
+        let ladder = &self.format.ladder;
+        self.format.on = Feature::all().filter(|f| ladder.has(f.name())).collect();
+        match ladder.stands() {
+            Stands::At(at) => {
+                let (version, alone) = (at.version, at.features.iter());
+                let features = alone.cloned().collect::<Vec<_>>().join(" ");
+                tracing::info!(version, features, complete = ladder.complete(), "formats in use");
             }
-            Latch::Open => tracing::info!("format not latched: older controllers may serve"),
-            Latch::Foreign => {
-                tracing::error!("the records have a later format than this version knows; it neither leads nor serves")
+            Stands::Foreign(what) => {
+                tracing::error!(
+                    what,
+                    "this is on and this version does not know it; it neither leads nor serves"
+                )
             }
-            Latch::Unknown => {}
+            Stands::Unknown => {}
         }
+        self.fit_budgets();
     }
 
-    /// Reads how things stand until the format is latched; leaves our own key, and
-    /// latches when its time has come.
+    /// Reads how things stand until all that this version knows is on; leaves our own key,
+    /// and takes a step when its time has come.
     pub(crate) fn tick_format(&mut self) {
         let now = self.now.steady_ms;
-        let settled = matches!(self.format.latch, Latch::Latched | Latch::Foreign);
+        let ladder = &self.format.ladder;
+        let settled = ladder.complete() && !ladder.key_wanted(&self.cfg.platform.node, None);
         if settled || self.format.asking || now < self.format.due_ms {
             return;
         }
@@ -106,92 +105,128 @@
 
     pub(crate) fn on_format_read(&mut self, outcome: Outcome) {
         self.format.asking = false;
-        let Outcome::Answer(r) = outcome else { return };
-        if r.status != 200 {
+        let Some(list) = self.listed(outcome) else { return };
+        self.see_format(&list.pairs);
+        // No settings name so many controllers.
+        if list.more || self.foreign_format() {
             return;
         }
-        let Ok(list) = from_cbor::<PairList>(&r.body) else { return };
-        self.state_answered();
-        self.see_format(&list.pairs);
-        self.leave_key();
-        self.latch_if_due(&list.pairs);
+        let word = |pair: &Pair| {
+            let node = pair.path.strip_prefix(FORMAT_NODES)?;
+            // What can't be read says nothing of what its controller can do.
+            let said = decode::<NodeRecord>(&pair.value)?;
+            Some((node.to_string(), (said, pair.stamp)))
+        };
+        let words = list.pairs.iter().filter_map(word).collect();
+        self.format.ladder.see(words);
+        // What a controller can do counts for the life in which it lives now.
+        let unsaid = self.format.ladder.key_wanted(&self.cfg.platform.node, None);
+        if unsaid || !self.format.ladder.complete() {
+            self.format.asking = true;
+            let target = format!("/keys?starts={MEMBERS}");
+            self.state_call("GET", target, Vec::new(), Pending::MembersRead);
+        }
     }
 
-    /// Takes in the keys of the format.
-    pub(crate) fn see_format(&mut self, pairs: &[Pair]) {
-        let mut stands = 1;
-        for pair in pairs {
-            let Some(record) = decode::<FormatRecord>(&pair.value) else {
-                if pair.path == FORMAT {
-                    // Not ours to guess at.
-                    stands = u32::MAX;
-                }
-                continue;
-            };
-            if pair.path == FORMAT {
-                stands = record.version;
-            } else if let Some(node) = pair.path.strip_prefix(FORMAT_NODES) {
-                self.format.nodes.insert(node.to_string(), record.version);
+    /// Who lives, read after what they say.
+    pub(crate) fn on_members_read(&mut self, outcome: Outcome) {
+        self.format.asking = false;
+        let Some(list) = self.listed(outcome) else { return };
+        let member = |p: &Pair| Some((p.path.strip_prefix(MEMBERS)?.to_string(), p.stamp));
+        let members: BTreeMap<String, u64> = list.pairs.iter().filter_map(member).collect();
+        let me = self.cfg.platform.node.clone();
+        match members.get(&me).copied() {
+            Some(life) if self.format.ladder.key_wanted(&me, Some(life)) => {
+                self.leave_key(&me, life)
             }
+            Some(_) => {}
+            // Its write was refused, or got lost.
+            None => self.leave_member_key(),
         }
-        self.latch_to(match stands {
-            0 | 1 => Latch::Open,
-            FORMAT_VERSION => Latch::Latched,
-            _ => Latch::Foreign,
-        });
-    }
-
-    /// Says for good that this controller can do format 2.
-    fn leave_key(&mut self) {
-        let node = self.cfg.platform.node.clone();
-        let stands = self.format.nodes.get(&node).is_some_and(|v| *v >= FORMAT_VERSION);
-        if stands || self.foreign_format() || !self.cfg.operator.new_format {
-            return;
+        if self.leads() {
+            self.weigh_steps(&members);
         }
-        let now = self.now.steady_ms;
-        let value = encode(&FormatRecord { version: FORMAT_VERSION });
-        let set = Change::Set { set: node_key(&node), value, permit: None };
-        self.store.writes.force(now, 1.0);
-        let body = to_cbor(&Transaction { guards: Vec::new(), apply: vec![set] });
+    }
+
+    fn listed(&mut self, outcome: Outcome) -> Option<PairList> {
+        let Outcome::Answer(r) = outcome else { return None };
+        let list = from_cbor::<PairList>(&r.body).ok().filter(|_| r.status == 200)?;
+        self.state_answered();
+        Some(list)
+    }
+
+    /// Takes in what stands, as a list of the format's keys shows it.
+    pub(crate) fn see_format(&mut self, pairs: &[Pair]) {
+        let ladder = &self.format.ladder;
+        let (stands, stamp) = match pairs.iter().find(|p| p.path == FORMAT) {
+            Some(pair) => (ladder.understand(decode(&pair.value)), pair.stamp),
+            None => (ladder.understand(Some(StandingRecord::first())), 0),
+        };
+        self.stands(stands, stamp);
+    }
+
+    /// Says for good what this controller can do, and in which life.
+    fn leave_key(&mut self, me: &str, life: u64) {
+        let record = NodeRecord { life: Some(life), ..self.format.ladder.can() };
+        let set = Change::Set { set: node_key(me), value: encode(&record), permit: None };
+        // An earlier life's word that comes late must not stand for this one's.
+        let guards = vec![Guard { path: member_key(me), stamp: life }];
+        self.store.writes.force(self.now.steady_ms, 1.0);
+        let body = to_cbor(&Transaction { guards, apply: vec![set] });
         // Looked for by the next read; written again if it is not there.
         self.state_call("POST", "/multi".into(), body, Pending::MemberKey);
     }
 
-    fn latch_if_due(&mut self, pairs: &[Pair]) {
-        if self.format.latch != Latch::Open || !self.leads() {
-            return;
-        }
+    /// Takes the next step if all have it; tells operators what it waits for, when that
+    /// changes.
+    fn weigh_steps(&mut self, members: &BTreeMap<String, u64>) {
         let platform = &self.cfg.platform;
-        let mut all: Vec<&String> = platform.siblings.iter().map(|s| &s.node).collect();
-        all.push(&platform.node);
-        let can = |node: &String| {
-            let key = node_key(node);
-            let pair = pairs.iter().find(|p| p.path == key);
-            let record = pair.and_then(|p| decode::<FormatRecord>(&p.value));
-            record.is_some_and(|r| r.version >= FORMAT_VERSION)
-        };
-        if !all.into_iter().all(can) {
-            return;
-        }
-        let epoch = self.epoch();
+        let mut named: Vec<String> = platform.siblings.iter().map(|s| s.node.clone()).collect();
+        named.push(platform.node.clone());
         let now = self.now.steady_ms;
-        let value = encode(&FormatRecord { version: FORMAT_VERSION });
-        let guards = vec![
-            Guard { path: FORMAT.into(), stamp: 0 },
+        let before = self.format.ladder.held().to_vec();
+        let due = self.format.ladder.weigh(now, &named, members);
+        for held in self.format.ladder.held() {
+            if before.iter().any(|b| b.step == held.step && b.by == held.by) {
+                continue;
+            }
+            let by: Vec<String> = held.by.iter().map(|(n, why)| format!("{n} {why}")).collect();
+            let for_s = (now - held.since_ms) / 1000;
+            tracing::info!(step = %held.step, for_s, by = by.join("; "), "a step waits");
+        }
+        if let Some(due) = due {
+            self.take_step(due);
+        }
+    }
+
+    /// Switches a step on: guarded by our view, by what stood, and by each controller's
+    /// being the one that agreed.
+    fn take_step(&mut self, due: Due) {
+        let mut guards = vec![
+            Guard { path: FORMAT.into(), stamp: self.format.ladder.stamp() },
             Guard { path: VIEW.into(), stamp: self.member.view_stamp },
         ];
+        guards.extend(due.guards.into_iter().map(|g| match g {
+            StillThere::Life { node, stamp } => Guard { path: member_key(&node), stamp },
+            StillThere::Word { node, stamp } => Guard { path: node_key(&node), stamp },
+        }));
+        let value = encode(&due.record);
         let apply = vec![Change::Set { set: FORMAT.into(), value, permit: None }];
-        self.store.writes.force(now, 1.0);
+        self.store.writes.force(self.now.steady_ms, 1.0);
         let body = to_cbor(&Transaction { guards, apply });
-        self.state_call("POST", "/multi".into(), body, Pending::Latch { epoch });
+        tracing::info!(step = %due.step, "all controllers have it: switching it on");
+        let pending = Pending::Step { record: due.record, epoch: self.epoch() };
+        self.format.asking = true;
+        self.state_call("POST", "/multi".into(), body, pending);
     }
 
     /// Whatever else came of it shows in the next read.
-    pub(crate) fn on_latch(&mut self, outcome: Outcome) {
-        self.format.due_ms = 0;
-        if matches!(outcome, Outcome::Answer(r) if r.status == 200) {
+    pub(crate) fn on_step(&mut self, record: Option<StandingRecord>, outcome: Outcome) {
+        (self.format.asking, self.format.due_ms) = (false, 0);
+        let (Outcome::Answer(r), Some(record)) = (outcome, record) else { return };
+        if let (200, Ok(a)) = (r.status, from_cbor::<TransactionAnswer>(&r.body)) {
             self.state_answered();
-            self.latch_to(Latch::Latched);
+            self.stands(Stands::At(record), a.ledger_rev);
         }
     }
 }
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -401,19 +401,22 @@
                 self.member.lease = LeaseState::Held { permit: l.permit };
                 self.member.renewed_ms = sent_ms;
                 self.drop_claim();
-                let node = self.cfg.platform.node.clone();
-                let set = Change::Set {
-                    set: member_key(&node),
-                    value: encode(&node),
-                    permit: Some(l.permit),
-                };
-                let body = to_cbor(&Transaction { guards: Vec::new(), apply: vec![set] });
-                self.store.writes.force(now, 1.0);
-                self.state_call("POST", "/multi".into(), body, Pending::MemberKey);
+                self.leave_member_key();
             }
         }
     }
 
+    /// Says on our lease that we live.
+    pub(crate) fn leave_member_key(&mut self) {
+        let LeaseState::Held { permit } = self.member.lease else { return };
+        let node = self.cfg.platform.node.clone();
+        let set =
+            Change::Set { set: member_key(&node), value: encode(&node), permit: Some(permit) };
+        let body = to_cbor(&Transaction { guards: Vec::new(), apply: vec![set] });
+        self.store.writes.force(self.now.steady_ms, 1.0);
+        self.state_call("POST", "/multi".into(), body, Pending::MemberKey);
+    }
+
     pub(crate) fn on_lease_renew(&mut self, sent_ms: u64, outcome: Outcome) {
         self.member.renewing = false;
         match outcome {
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 
+use quartzgate_ladder::Feature;
 use quartzgate_wire::to_cbor;
 
 use crate::controller::Controller;
@@ -26,9 +27,21 @@
         put("leads", f64::from(u8::from(self.leads())));
         put("load", f64::from(self.load as u8));
         put("in_doubt", f64::from(u8::from(self.in_doubt())));
-        put("format_latched", f64::from(u8::from(self.latched())));
-        for (node, version) in &self.format.nodes {
-            put(&format!("format_node.{node}"), f64::from(*version));
+        let ladder = &self.format.ladder;
+        put("format", f64::from(ladder.version()));
+        put("format_complete", f64::from(u8::from(ladder.complete() && !ladder.foreign())));
+        put("format_foreign", f64::from(u8::from(ladder.foreign())));
+        for (node, said) in ladder.nodes() {
+            put(&format!("format_node.{node}"), f64::from(said.version));
+        }
+        for feature in Feature::all() {
+            put(&format!("feature.{}", feature.name()), f64::from(u8::from(self.has(feature))));
+        }
+        for held in ladder.held() {
+            for node in held.by.keys() {
+                let for_s = now.saturating_sub(held.since_ms) as f64 / 1000.0;
+                put(&format!("step_held_s.{}.{node}", held.step), for_s);
+            }
         }
         let waits = self.jobs.iter().filter(|(_, j)| j.state == JobState::Waiting);
         put("jobs_waiting_for_jobs", waits.count() as f64);
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -10,8 +10,8 @@
 //! | `jobs/<ref>` | the spec, then how it ended |
 //! | `shares/<ref>/<part>/<chunk>` | tasks dealt to a part, probes, ends |
 //! | `inbox/<ref>` | a job or abort recorded past the leader, for it to look at |
-//! | `format` | the format that all controllers write from now on; absent before format 2 |
-//! | `format/node/<node>` | the newest format that a controller can read and write |
+//! | `format` | the format that all controllers write from now on, and the features that are on; absent before format 2 |
+//! | `format/node/<node>` | the newest format that a controller can read and write, and the features that it knows |
 //!
 //! Format 1 is that of the first version. Format 2 adds a job's dependencies, packs shares
 //! more closely, and spreads a share over several keys, `<chunk>`, `<chunk>.1` and so on,
@@ -33,11 +33,12 @@
 pub const JOBS: &str = "jobs/";
 pub const SHARES: &str = "shares/";
 pub const INBOX: &str = "inbox/";
+pub const MEMBERS: &str = "members/";
 /// The format that stands, and what each controller can do; see `format.rs`.
 pub const FORMAT: &str = "format";
 pub const FORMAT_NODES: &str = "format/node/";
-/// The newest format that this version reads and writes.
-pub const FORMAT_VERSION: u32 = 2;
+/// The format of a packed share, as it says itself.
+const PACKED: u32 = 2;
 /// The only part while the view holds the leader's part alone.
 pub const SOLE_PART: &str = "0";
 
@@ -57,7 +58,7 @@
 }
 
 pub fn member_key(node: &str) -> String {
-    format!("members/{node}")
+    format!("{MEMBERS}{node}")
 }
 
 pub fn share_key(id: &str, chunk: u32) -> String {
@@ -85,12 +86,6 @@
     Some((id, chunk.parse().ok()?))
 }
 
-/// Which format stands, or what a controller can do.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct FormatRecord {
-    pub version: u32,
-}
-
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct View {
     pub epoch: u64,
@@ -228,7 +223,7 @@
         return decode(value).map(|record| GatheredShare { record, stamp, of: 1, have: 1 });
     }
     let piece: SharePiece = decode(value)?;
-    if piece.format != FORMAT_VERSION || piece.of == 0 || piece.of > CHUNK {
+    if piece.format != PACKED || piece.of == 0 || piece.of > CHUNK {
         return None;
     }
     let first = chunk.checked_mul(CHUNK)?;
@@ -308,7 +303,7 @@
         }
     }
     let done = record.done.iter().filter_map(|(a, b)| clip(*a, *b)).collect();
-    let (format, epoch) = (FORMAT_VERSION, record.epoch);
+    let (format, epoch) = (PACKED, record.epoch);
     SharePiece { format, epoch, of: 1, machines, sets, done, zones }
 }
 
--- a/crates/core/src/shares.rs
+++ b/crates/core/src/shares.rs
@@ -2,6 +2,7 @@
 //! together, and folded into their job's record once they are done.
 
 use ciborium::value::Value;
+use quartzgate_ladder::Feature;
 use quartzgate_wire::msg::{Change, Guard, Transaction};
 
 use crate::controller::Controller;
@@ -81,7 +82,7 @@
         let most = self.value_most();
         let c = self.jobs.get(ix)?.chunks.get(&chunk)?;
         let (old, stamp) = (c.pieces, c.stamp);
-        if !self.latched() {
+        if !self.has(Feature::Pieces) {
             let bytes = json_size(&record);
             let (values, oversize) = (vec![encode(&record)], bytes > most);
             return Some(ShareWrite { pieces: 1, old, stamp, values, bytes, oversize });
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use quartzgate_ladder::Feature;
 use quartzgate_wire::msg::{Change, Guard, Pair, Rank, Shape, Transaction, TransactionAnswer};
 use quartzgate_wire::settings::StateLimits;
 use quartzgate_wire::{from_cbor, to_cbor};
@@ -396,7 +397,7 @@
                 spec: None,
                 at_ms: job.at_ms,
                 done_chunks: Vec::new(),
-                service: job.spec.shape == Shape::Service && self.latched(),
+                service: job.spec.shape == Shape::Service && self.has(Feature::ServiceMark),
             };
             let key = job_key(&job.id);
             txn.guards.push(Guard { path: key.clone(), stamp: job.stamp });
--- a/crates/core/tests/stories/upgrade.rs
+++ b/crates/core/tests/stories/upgrade.rs
@@ -2,9 +2,9 @@
 //! don't agree to the new format yet, the latch, and limits that fall without notice.
 //! Each says what it guards.
 //!
-//! A controller that does not agree (`new_format: false`) stands for the first version:
-//! the frozen types below are the first version's own, and what is written before the
-//! latch is held against them.
+//! A controller that does not agree (`new_format: false`) and leaves no word stands for the
+//! first version: the frozen types below are the first version's own, and what is written
+//! before the latch is held against them.
 
 use crate::world::{behind, job, Cut, End, World, CANCEL_MS};
 use ciborium::value::Value;
@@ -301,7 +301,7 @@
             }
             if !w.old.is_empty() {
                 assert!(!w.latched());
-                assert_eq!(w.figures(n)["format_latched"], 0.0);
+                assert_eq!(w.figures(n)["format"], 1.0);
                 let ask = w.ask(n, "POST", "/api/jobs", to_cbor(&chained));
                 w.run(300);
                 assert_eq!(w.status(ask), 503);
@@ -342,7 +342,7 @@
         // Operators see it, node by node.
         let leader = w.leader().unwrap();
         let seen = w.figures(leader);
-        assert_eq!((seen["format_latched"], seen["format_node.n0"]), (1.0, 2.0));
+        assert_eq!((seen["format"], seen["format_node.n0"]), (2.0, 2.0));
     }
 }
 
--- a/crates/core/tests/stories/world.rs
+++ b/crates/core/tests/stories/world.rs
@@ -4,8 +4,11 @@
 
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 
+use ciborium::value::Value;
 use quartzgate_core::config::{Config, Operator};
+use quartzgate_core::records::{FORMAT, FORMAT_NODES};
 use quartzgate_core::{Action, Call, CallId, Controller, Event, Now, Outcome, Peer};
+use quartzgate_ladder::{Ladder, StandingRecord, Stands, Table, TABLE};
 use quartzgate_wire::http::{Request, Response};
 use quartzgate_wire::msg::*;
 use quartzgate_wire::settings::Platform;
@@ -204,6 +207,14 @@
     pub next: Option<serde_json::Value>,
     /// Controllers that don't agree to the newest format, as the version before.
     pub old: BTreeSet<usize>,
+    /// Controllers of another build, by what it knows.
+    pub tables: BTreeMap<usize, &'static Table>,
+    /// What a controller's operators withhold.
+    pub withhold: BTreeMap<usize, Vec<String>>,
+    /// How many controllers its settings name, where they differ.
+    pub named: BTreeMap<usize, usize>,
+    /// Revision at which each controller was last started.
+    born_rev: Vec<u64>,
     pub seed: u64,
 }
 
@@ -307,6 +318,10 @@
             limit_cpus,
             next: None,
             old: BTreeSet::new(),
+            tables: BTreeMap::new(),
+            withhold: BTreeMap::new(),
+            named: BTreeMap::new(),
+            born_rev: vec![0; nodes],
             seed,
         };
         for n in 0..nodes {
@@ -363,12 +378,17 @@
     // Faults.
 
     pub fn start(&mut self, n: usize) {
-        let mut platform = platform(n, self.lives.len(), self.limit_cpus);
+        let mut platform =
+            platform(n, self.named.get(&n).copied().unwrap_or(self.lives.len()), self.limit_cpus);
         let next = self.next.clone().map(|n| serde_json::from_value(n).unwrap());
         platform.params.state.next = next;
         platform.check().unwrap();
-        let operator = Operator { new_format: !self.old.contains(&n), ..Operator::default() };
-        let config = Config::new(platform, operator);
+        let withhold = self.withhold.get(&n).cloned().unwrap_or_default();
+        let new_format = !self.old.contains(&n);
+        let operator = Operator { new_format, withhold, ..Operator::default() };
+        let mut config = Config::new(platform, operator);
+        config.table = self.table_of(n);
+        self.born_rev[n] = self.state.rev;
         self.lives[n] += 1;
         let life = self.lives[n];
         let rng = SmallRng::seed_from_u64(self.seed * 100 + n as u64 * 10 + u64::from(life));
@@ -484,6 +504,27 @@
         value.deserialized::<quartzgate_core::records::JobRecord>().ok().map(|r| r.status)
     }
 
+    /// What has been switched on.
+    pub fn stands(&self) -> StandingRecord {
+        let key = self.state.keys.get(FORMAT);
+        key.map_or(StandingRecord::first(), |(v, _, _)| v.deserialized().unwrap())
+    }
+
+    /// Replaces a controller by one of another build: away for a moment, then back.
+    pub fn replace(&mut self, n: usize, table: &'static Table, ms: u64) {
+        self.old.remove(&n);
+        self.tables.insert(n, table);
+        self.kill_for(n, ms);
+    }
+
+    pub fn size(&self) -> usize {
+        self.nodes.len()
+    }
+
+    pub fn is_up(&self, n: usize) -> bool {
+        self.nodes[n].is_some()
+    }
+
     /// The latch stands.
     pub fn latched(&self) -> bool {
         self.state.keys.contains_key("format")
@@ -928,6 +969,14 @@
             }
         } else if path == "/multi" {
             let txn: Transaction = from_cbor(&call.body).unwrap();
+            let word =
+                |c: &Change| matches!(c, Change::Set { set, .. } if set.starts_with(FORMAT_NODES));
+            // The first version leaves no word of what it can do.
+            if self.old.contains(&from) && txn.apply.iter().any(word) {
+                let body =
+                    to_cbor(&TransactionAnswer { ledger_rev: self.state.rev, failed: Vec::new() });
+                return self.back(from, life, call.id, Response::new(200, body), &End::State);
+            }
             let post = quartzgate_core::records::POST;
             let is_post =
                 |c: &Change| matches!(c, Change::Set { set, .. } if set.starts_with(post));
@@ -1020,6 +1069,7 @@
             return Response::new(400, Vec::new());
         }
         self.check_epochs(&txn);
+        self.check_steps(&txn);
         if !txn.apply.is_empty() {
             self.state.rev += 1;
         }
@@ -1074,6 +1124,47 @@
         None
     }
 
+    /// What stands only grows, a step at a time, and no controller that lives, as far as
+    /// the state service knows, lacks what is switched on.
+    fn check_steps(&mut self, txn: &Transaction) {
+        for change in &txn.apply {
+            let Change::Set { set, value, .. } = change else { continue };
+            if set != FORMAT {
+                continue;
+            }
+            let read = |v: &Value| v.deserialized::<StandingRecord>().unwrap();
+            let old = self.state.keys.get(FORMAT);
+            let old = old.map_or(StandingRecord::first(), |k| read(&k.0));
+            let new = read(value);
+            let steps = new.version - old.version.min(new.version)
+                + new.features.difference(&old.features).count() as u32;
+            if !new.covers(&old) || steps != 1 {
+                self.breaches.push(format!("{new:?} was set over {old:?}"));
+            }
+            for n in 0..self.nodes.len() {
+                let lives = self.nodes[n].is_some()
+                    && self.state.keys.contains_key(&format!("members/n{n}"))
+                    && self.knew_life(n);
+                let table = self.table_of(n);
+                let ladder = Ladder::new(table, BTreeSet::new());
+                let knows = matches!(ladder.understand(Some(new.clone())), Stands::At(_));
+                if lives && (!knows || self.old.contains(&n)) {
+                    self.breaches.push(format!("{new:?} was set while n{n} lives, which lacks it"));
+                }
+            }
+        }
+    }
+
+    /// The key on a controller's lease is of its present life.
+    fn knew_life(&self, n: usize) -> bool {
+        let key = self.state.keys.get(&format!("members/n{n}"));
+        key.is_some_and(|k| k.1 > self.born_rev[n])
+    }
+
+    fn table_of(&self, n: usize) -> &'static Table {
+        self.tables.get(&n).copied().unwrap_or(&TABLE)
+    }
+
     /// No share is ever written by an owner of an earlier view.
     fn check_epochs(&mut self, txn: &Transaction) {
         use quartzgate_core::records::{read_share, View, SHARES, VIEW};
@@ -1454,12 +1545,14 @@
         let now = Now { steady_ms: self.now, wall_ms: 1_000_000 + self.now };
         let (method, target) = ("GET".into(), "/metrics".into());
         let request = Request { method, target, body: Vec::new(), close: false };
-        let core = &mut self.nodes[node].as_mut().unwrap().core;
-        let actions = core.handle(now, Event::Mesh { id: u64::MAX, request });
-        let told = actions.into_iter().find_map(|a| match a {
-            Action::Answer { response, .. } => from_cbor(&response.body).ok(),
-            Action::Call(_) => None,
-        });
+        let n = self.nodes[node].as_mut().unwrap();
+        let (life, mut told) = (n.life, None);
+        for action in n.core.handle(now, Event::Mesh { id: u64::MAX, request }) {
+            match action {
+                Action::Answer { id: u64::MAX, response } => told = from_cbor(&response.body).ok(),
+                other => self.carry_out(node, life, vec![other]),
+            }
+        }
         told.expect("figures")
     }
 
--- a/crates/quartzgate/src/main.rs
+++ b/crates/quartzgate/src/main.rs
@@ -19,7 +19,7 @@
     /// Operators' own settings (YAML); every key may be left out.
     #[arg(long, value_name = "FILE")]
     operator: Option<PathBuf>,
-    /// Check the settings and leave.
+    /// Check the settings, say which formats and features this build knows, and leave.
     #[arg(long)]
     check: bool,
 }
@@ -38,7 +38,7 @@
         }
     };
     if cli.check {
-        println!("settings of {} are in order", config.platform.node);
+        print!("{}", settings::report(&config));
         return ExitCode::SUCCESS;
     }
     match daemon::run(config) {
--- a/crates/quartzgate/src/settings.rs
+++ b/crates/quartzgate/src/settings.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use quartzgate_core::config::{Config, Operator};
+use quartzgate_ladder::Comes;
 use quartzgate_wire::settings::{Platform, SettingsError};
 
 #[derive(Debug, thiserror::Error)]
@@ -41,3 +42,25 @@
     }
     Ok(Config::new(platform, own))
 }
+
+/// What `--check` prints of settings that are in order: with the steps of the ladder that
+/// this build knows, and which of them this controller withholds.
+pub fn report(config: &Config) -> String {
+    let withheld = config.operator.withheld();
+    let mut out = format!("settings of {} are in order\n", config.platform.node);
+    let mut line = |name: &str, how: String, changes: &str| {
+        let held = if withheld.contains(name) { " (withheld here)" } else { "" };
+        out.push_str(&format!("{name}: {how}{held}: {changes}\n"));
+    };
+    for v in config.table.versions {
+        line(v.name, "format of the records".into(), v.changes);
+    }
+    for f in config.table.features {
+        let how = match f.comes {
+            Comes::With(version) => format!("feature, with format {version}"),
+            Comes::Alone { from } => format!("feature, its own step from format {from} on"),
+        };
+        line(f.name, how, f.changes);
+    }
+    out
+}
--- a/crates/quartzgate/tests/command_line.rs
+++ b/crates/quartzgate/tests/command_line.rs
@@ -66,8 +66,25 @@
         ("typo", "probs: 3", "probs"),
         ("range", "probes: 0", "probes"),
         ("kind", "slack_cap: many", "slack_cap"),
+        ("step", "withhold: [format-99]", "format-99"),
     ] {
         let (ok, said) = check(name, &good, Some(yaml));
         assert!(!ok && said.contains(word), "{name}: {said}");
     }
 }
+
+/// Guards the dry run of a roll: what this build knows, and what is withheld here.
+#[test]
+fn the_check_tells_formats_and_features() {
+    let dir = std::env::temp_dir().join(format!("quartzgate-steps-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let yaml = dir.join("operator.yaml");
+    std::fs::write(&yaml, "withhold: [format-2]").unwrap();
+    let (json, yaml) = (example(), yaml.display().to_string());
+    let json = json.to_str().unwrap();
+    let out = run(&["--check", "--config", json, "--operator", &yaml]);
+    std::fs::remove_dir_all(&dir).unwrap();
+    let text = String::from_utf8(out.stdout).unwrap();
+    assert!(text.contains("format-2: format of the records (withheld here)"), "{text}");
+    assert!(text.contains("chains: feature, with format 2"), "{text}");
+}
