Format 3: the share of a small job in its own record, two changes a job instead of four

Need: the changes of the state service are what holds the fleet back; a one-task job took four (the acceptance, its share, its end, the removal of the share).

Change: step `format-3` of the ladder, feature `inline-shares`. The share of a job of one chunk is a field of jobs/<ref> where it fits with 64 bytes to spare, else it stands in keys of its own; moving out is one transaction with the record. Accept, deal, abort, end, restamp, takeover and adoption know both forms; shared comparing reads no longer take our own write for a changed record; a submission accepted while its refusal was looked up is not refused.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -20,7 +20,8 @@
 use crate::records::{
     checked_size, decode, encode, inbox_key, job_key, JobRecord, RecordedStatus, INBOX,
 };
-use crate::store::Purpose;
+use crate::shares::{Placed, ShareWrite};
+use crate::store::{FlushItem, Purpose};
 use crate::{Outcome, Peer, RequestId};
 
 /// Why a well-formed job can never run.
@@ -253,6 +254,7 @@
             at_ms: self.now.wall_ms,
             done_chunks: Vec::new(),
             service: false,
+            share: None,
         }
     }
 
@@ -341,42 +343,48 @@
         let ready = spec.dependencies.iter().all(done);
         let job = self.new_job(spec, team, JobState::Recording, 0, record.at_ms);
         let ix = self.jobs.insert(job);
-        let mut apply =
-            vec![Change::Set { set: key.clone(), value: encode(&record), permit: None }];
-        let mut guards = vec![
-            Guard { path: key, stamp: 0 },
-            Guard { path: crate::records::VIEW.into(), stamp: self.member.view_stamp },
-        ];
-        let mut first = 0;
-        // The first deal goes with the acceptance if a write for it is left.
-        if ready && self.may_deal_at_once(rank) {
-            let full = self.backlog().full(rank);
-            if !full && self.deal_job(ix) {
-                // A share that needs more room follows in a write of its own.
-                let room = self.limits().txn_ops - apply.len();
-                if let Some(share) = self.share_write(ix, 0).filter(|s| s.changes() <= room) {
-                    self.store.writes.force(now, share.changes() as f64 - 1.0);
-                    first = share.pieces;
-                    self.store.note(Purpose::Deal, share.changes());
-                    share.enter(&job_id, 0, &mut guards, &mut apply);
-                    if let Some(c) = self.jobs.get_mut(ix).and_then(|j| j.chunks.get_mut(&0)) {
-                        (c.dirty, c.busy) = (false, true);
-                    }
+        // The first deal goes with the acceptance: within the same change if it fits, else if
+        // another is left.
+        let inline = self.inlines(ix);
+        let mut share = None;
+        if ready && (inline || self.may_deal_at_once(rank)) {
+            let prepaid = if inline { 0.0 } else { 1.0 };
+            let mut spent = 0.0;
+            if !self.backlog().full(rank) && self.deal_job(ix) {
+                let room = self.limits().txn_ops - 1;
+                let fits = |s: &ShareWrite| s.placed.inline || !inline && s.changes() <= room;
+                share = self.share_write(ix, 0).filter(fits);
+                match &share {
+                    Some(s) if !s.placed.inline => spent = s.changes() as f64,
+                    Some(_) => {}
+                    // A share that needs more room follows in a write of its own.
+                    None => self.press(ix, 0),
                 }
-            } else {
-                self.store.writes.force(now, -1.0);
             }
+            self.store.writes.force(now, spent - prepaid);
+            self.store.note(Purpose::Deal, spent as usize);
+        }
+        let view = Guard { path: crate::records::VIEW.into(), stamp: self.member.view_stamp };
+        let (mut guards, mut apply) = (vec![view], Vec::new());
+        let placed = share.as_ref().map_or(Placed::default(), |s| s.placed);
+        if !placed.own {
+            apply.push(Change::Set { set: key.clone(), value: encode(&record), permit: None });
+            guards.push(Guard { path: key, stamp: 0 });
+        }
+        if let Some(share) = share {
+            share.enter(&job_id, 0, &mut guards, &mut apply);
+            self.chunk_sent(ix, 0, placed);
         }
         if let Some(j) = self.jobs.get_mut(ix) {
             j.busy = true;
         }
         let body = to_cbor(&Transaction { guards, apply });
         let epoch = self.epoch();
-        let pending = Pending::Accept { request: id, job: ix, pieces: first, epoch };
+        let pending = Pending::Accept { request: id, job: ix, placed, epoch };
         self.state_call("POST", "/multi".into(), body, pending);
     }
 
-    pub(crate) fn on_accept(&mut self, id: RequestId, ix: JobIx, pieces: u32, outcome: Outcome) {
+    pub(crate) fn on_accept(&mut self, id: RequestId, ix: JobIx, placed: Placed, outcome: Outcome) {
         let done = match &outcome {
             Outcome::Answer(r) if r.status == 200 => from_cbor::<TransactionAnswer>(&r.body).ok(),
             _ => None,
@@ -384,13 +392,11 @@
         if let Some(done) = done {
             self.state_answered();
             let Some(job) = self.jobs.get_mut(ix) else { return self.answer_busy(id) };
-            job.stamp = done.ledger_rev;
-            job.busy = false;
-            if let Some(c) = job.chunks.get_mut(&0).filter(|c| c.busy) {
-                (c.busy, c.acked, c.stamp) = (false, c.version, done.ledger_rev);
-                c.pieces = pieces;
-            }
+            (job.stamp, job.busy) = (done.ledger_rev, false);
             let job_id = job.id.clone();
+            if placed != Placed::default() {
+                self.chunk_stands(ix, 0, placed, done.ledger_rev);
+            }
             self.link(ix);
             self.job_to(ix, JobState::Live);
             // It may have been accepted behind one that is cancelled.
@@ -515,6 +521,8 @@
         outcome: Outcome,
     ) {
         match self.read_outcome(outcome) {
+            // It may have been accepted while the record was read.
+            Ok(None) if self.jobs.find(&spec.id).is_some() => self.answer_busy(id),
             Ok(None) => match refusal {
                 Some((status, why)) => {
                     tracing::info!(job = %spec.id, why, "refused");
@@ -539,37 +547,59 @@
             return self.answer_busy(id);
         }
         self.store.note(Purpose::Abort, 1);
-        let key = job_key(&job.id);
+        let (key, stamp, job_id) = (job_key(&job.id), job.stamp, job.id.clone());
+        let inline = job.chunks.get(&0).is_some_and(|c| c.inline);
         let mut record = JobRecord {
             status: RecordedStatus::Aborted,
             spec: Some(job.spec.clone()),
             at_ms: job.at_ms,
             done_chunks: job.done_chunks.clone(),
             service: false,
+            share: None,
         };
         record.end_within(self.value_most());
-        let body = to_cbor(&Transaction {
-            guards: vec![
-                Guard { path: key.clone(), stamp: job.stamp },
-                Guard { path: crate::records::VIEW.into(), stamp: self.member.view_stamp },
-            ],
-            apply: vec![Change::Set { set: key, value: encode(&record), permit: None }],
-        });
+        self.job_to(ix, JobState::Doubtful);
+        let view = Guard { path: crate::records::VIEW.into(), stamp: self.member.view_stamp };
+        let (mut guards, mut apply) = (vec![view], Vec::new());
+        // A record that says where its tasks may be goes on saying so.
+        let share = if inline { self.share_write(ix, 0) } else { None };
+        let placed = share.as_ref().map_or(Placed::default(), |s| s.placed);
+        match share {
+            Some(share) => {
+                share.enter(&job_id, 0, &mut guards, &mut apply);
+                self.chunk_sent(ix, 0, placed);
+            }
+            None => {
+                guards.push(Guard { path: key.clone(), stamp });
+                apply.push(Change::Set { set: key, value: encode(&record), permit: None });
+            }
+        }
         if let Some(j) = self.jobs.get_mut(ix) {
             j.busy = true;
         }
-        self.job_to(ix, JobState::Doubtful);
-        let pending = Pending::AbortWrite { request: id, job: ix, epoch: self.epoch() };
+        let body = to_cbor(&Transaction { guards, apply });
+        let epoch = self.epoch();
+        let pending = Pending::AbortWrite { request: id, job: ix, placed, epoch };
         self.state_call("POST", "/multi".into(), body, pending);
     }
 
-    pub(crate) fn on_abort_write(&mut self, id: RequestId, ix: JobIx, outcome: Outcome) {
+    pub(crate) fn on_abort_write(
+        &mut self,
+        id: RequestId,
+        ix: JobIx,
+        placed: Placed,
+        outcome: Outcome,
+    ) {
+        let share = FlushItem::Chunk { job: ix, chunk: 0, placed };
         if let Outcome::Answer(r) = &outcome {
             if let (200, Ok(done)) = (r.status, from_cbor::<TransactionAnswer>(&r.body)) {
                 self.state_answered();
                 let Some(job) = self.jobs.get_mut(ix) else { return self.answer_busy(id) };
                 (job.busy, job.stamp) = (false, done.ledger_rev);
                 let job_id = job.id.clone();
+                if placed.own {
+                    self.chunk_stands(ix, 0, placed, done.ledger_rev);
+                }
                 self.job_to(ix, JobState::Aborted);
                 self.store.touch_job(ix);
                 return self.answer_final(id, &job_id, RecordedStatus::Aborted);
@@ -584,12 +614,18 @@
                     j.busy = false;
                 }
                 self.job_to(ix, JobState::Live);
+                if placed.own {
+                    self.unwritten(share);
+                }
                 return self.answer_busy(id);
             }
         }
         // Perhaps executed, or the record has changed: it is read before anything else.
         self.answer_busy(id);
-        self.restamp_job(ix);
+        match placed.own {
+            true => self.restamp(share),
+            false => self.restamp_job(ix),
+        }
     }
 
     /// An abort of a job that the leader does not know, or without a leader.
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -26,6 +26,7 @@
 use crate::post::PostBox;
 use crate::records::RecordedStatus;
 use crate::restore::Restore;
+use crate::shares::Placed;
 use crate::store::{FlushItem, Store};
 use crate::{Action, Call, CallId, Event, LoadState, Now, Outcome, Peer, RequestId};
 
@@ -51,9 +52,9 @@
     Inspect { machine: MachineIx, epoch: u64 },
     Flush { items: Vec<FlushItem>, sent_ms: u64, epoch: u64 },
     Restamp { item: FlushItem, epoch: u64 },
-    Accept { request: RequestId, job: JobIx, pieces: u32, epoch: u64 },
+    Accept { request: RequestId, job: JobIx, placed: Placed, epoch: u64 },
     AcceptAlone { request: RequestId, id: String, cancelled: bool },
-    AbortWrite { request: RequestId, job: JobIx, epoch: u64 },
+    AbortWrite { request: RequestId, job: JobIx, placed: Placed, epoch: u64 },
     AbortRead { request: RequestId, id: String },
     AbortAlone { request: RequestId, id: String },
     Known { request: RequestId, spec: Box<JobSpec>, refusal: Option<(u16, &'static str)> },
@@ -365,16 +366,16 @@
             Pending::Relay { request, report } => self.on_relayed(request, *report, outcome),
             Pending::Beat { sibling } => self.on_beat(sibling, outcome),
             Pending::Types => self.on_types(outcome),
-            Pending::Accept { request, job, pieces, epoch } => {
+            Pending::Accept { request, job, placed, epoch } => {
                 if epoch == current {
-                    self.on_accept(request, job, pieces, outcome)
+                    self.on_accept(request, job, placed, outcome)
                 } else {
                     self.answer_busy(request)
                 }
             }
-            Pending::AbortWrite { request, job, epoch } => {
+            Pending::AbortWrite { request, job, placed, epoch } => {
                 if epoch == current {
-                    self.on_abort_write(request, job, outcome)
+                    self.on_abort_write(request, job, placed, outcome)
                 } else {
                     self.answer_busy(request)
                 }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -90,6 +90,8 @@
     pub stamp: u64,
     /// Keys over which the record that stands is spread, all with this stamp.
     pub pieces: u32,
+    /// The record that stands is within the job's own; there are no keys and no stamp.
+    pub inline: bool,
     /// The record is too large to be written; it is not tried again before then.
     pub put_off_ms: u64,
 }
@@ -383,6 +385,7 @@
             acked: 0,
             stamp: 0,
             pieces: 0,
+            inline: false,
             put_off_ms: 0,
         }
     }
--- a/crates/core/src/polls.rs
+++ b/crates/core/src/polls.rs
@@ -23,6 +23,8 @@
     asked: Asked,
     /// Records, with the stamps that memory rests on, that are still to be compared.
     open: BTreeMap<JobIx, u64>,
+    /// Those of them that are being compared.
+    sent: BTreeMap<JobIx, u64>,
     /// Jobs whose records have changed.
     changed: BTreeSet<JobIx>,
 }
@@ -107,7 +109,10 @@
         for (ix, stamp) in now {
             compared.open.remove(&ix);
             match self.jobs.get(ix) {
-                Some(j) => guards.push(Guard { path: job_key(&j.id), stamp }),
+                Some(j) => {
+                    guards.push(Guard { path: job_key(&j.id), stamp });
+                    compared.sent.insert(ix, stamp);
+                }
                 // It has ended since.
                 None => drop(compared.changed.insert(ix)),
             }
@@ -148,8 +153,10 @@
             let found = path.strip_prefix(JOBS).and_then(|id| self.jobs.find(id));
             let Some(ix) = found else { continue };
             compared.changed.insert(ix);
-            // Memory is behind its record, or the record behind a late write.
-            if self.jobs.get(ix).is_some_and(comparable) {
+            // Memory is behind its record, or the record behind a late write; unless we wrote
+            // it meanwhile.
+            let sent = compared.sent.get(&ix).copied();
+            if self.jobs.get(ix).is_some_and(|j| comparable(j) && Some(j.stamp) == sent) {
                 self.restamp_job(ix);
             }
         }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -7,7 +7,7 @@
 //! | `view/leader` | who leads, on its lease |
 //! | `view/keeper/<node>` | a controller that keeps workers for the leader, on its lease |
 //! | `view/post/<to>/<from>` | what one controller has to tell another past a cut, on its lease |
-//! | `jobs/<ref>` | the spec, then how it ended |
+//! | `jobs/<ref>` | the spec, perhaps the share, then how it ended |
 //! | `shares/<ref>/<part>/<chunk>` | tasks dealt to a part, probes, ends |
 //! | `inbox/<ref>` | a job or abort recorded past the leader, for it to look at |
 //! | `format` | the format that all controllers write from now on, and the features that are on; absent before format 2 |
@@ -15,7 +15,8 @@
 //!
 //! Format 1 is that of the first version. Format 2 adds a job's dependencies, packs shares
 //! more closely, and spreads a share over several keys, `<chunk>`, `<chunk>.1` and so on,
-//! where one value would be too large.
+//! where one value would be too large. Format 3 puts the share of a job of one chunk into
+//! the job's own record, where it fits.
 
 use std::collections::BTreeMap;
 
@@ -121,6 +122,10 @@
     /// The job was a service: no other job may name it. Told by the spec while that is kept.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub service: bool,
+    /// Since format 3: the share of a job of one chunk, unless it stands under keys of its
+    /// own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub share: Option<SharePiece>,
 }
 
 impl JobRecord {
@@ -183,6 +188,8 @@
     pub stamp: u64,
     pub of: u32,
     pub have: u32,
+    /// It stands in its job's own record.
+    pub inline: bool,
 }
 
 impl GatheredShare {
@@ -220,9 +227,24 @@
     let (_, chunk) = parse_share_key(key)?;
     let named = |k: &Value| k.as_text() == Some("format");
     if !value.as_map()?.iter().any(|(k, _)| named(k)) {
-        return decode(value).map(|record| GatheredShare { record, stamp, of: 1, have: 1 });
+        let inline = false;
+        return decode(value).map(|record| GatheredShare { record, stamp, of: 1, have: 1, inline });
     }
-    let piece: SharePiece = decode(value)?;
+    open_piece(&decode(value)?, chunk, stamp)
+}
+
+/// The share that a job's own record holds.
+pub fn open_inline(piece: &SharePiece, stamp: u64) -> Option<GatheredShare> {
+    let share = open_piece(piece, 0, stamp).filter(GatheredShare::whole)?;
+    Some(GatheredShare { inline: true, ..share })
+}
+
+/// The whole share in one piece, as a job's own record holds it.
+pub fn inline_piece(record: &ShareRecord) -> SharePiece {
+    cut_share(record, 0, 0, CHUNK - 1)
+}
+
+fn open_piece(piece: &SharePiece, chunk: u32, stamp: u64) -> Option<GatheredShare> {
     if piece.format != PACKED || piece.of == 0 || piece.of > CHUNK {
         return None;
     }
@@ -248,8 +270,9 @@
         return None;
     }
     let done = piece.done.iter().map(|(a, b)| (first + a, first + b)).collect();
-    let record = ShareRecord { epoch: piece.epoch, machines: piece.machines, sets, done, zones };
-    Some(GatheredShare { record, stamp, of: piece.of, have: 1 })
+    let machines = piece.machines.clone();
+    let record = ShareRecord { epoch: piece.epoch, machines, sets, done, zones };
+    Some(GatheredShare { record, stamp, of: piece.of, have: 1, inline: false })
 }
 
 /// Packs a share into as many pieces as values of at most `most` bytes take.
--- a/crates/core/src/restore.rs
+++ b/crates/core/src/restore.rs
@@ -12,8 +12,8 @@
 use crate::machines::{sane, MachineState};
 use crate::member::Role;
 use crate::records::{
-    decode, job_key, parse_share_key, piece_keys, read_share, share_key, GatheredShare, JobRecord,
-    RecordedStatus, CHUNK, FORMAT, INBOX, JOBS, SHARES,
+    decode, job_key, open_inline, parse_share_key, piece_keys, read_share, share_key,
+    GatheredShare, JobRecord, RecordedStatus, SharePiece, CHUNK, FORMAT, INBOX, JOBS, SHARES,
 };
 use crate::{Outcome, Peer};
 
@@ -35,6 +35,8 @@
     aborted: BTreeMap<String, (JobRecord, u64)>,
     retry_ms: Option<u64>,
     broken: BTreeSet<String>,
+    /// Shares that stand in their jobs' own records, until all jobs are read.
+    inline: Vec<(String, SharePiece, u64)>,
     /// Shares some of whose pieces have not been read yet.
     partial: BTreeMap<JobIx, BTreeMap<u32, GatheredShare>>,
 }
@@ -116,7 +118,12 @@
                 Phase::Jobs => {
                     let id = pair.path.trim_start_matches(JOBS).to_string();
                     match decode::<JobRecord>(&pair.value) {
-                        Some(record) => self.restore_job(id, record, pair.stamp),
+                        Some(mut record) => {
+                            let share = record.share.take();
+                            let share = share.map(|s| (id.clone(), s, pair.stamp));
+                            self.restore.inline.extend(share);
+                            self.restore_job(id, record, pair.stamp)
+                        }
                         None => {
                             tracing::error!(job = %id, "the job's record can't be read; it is left alone");
                             self.restore.broken.insert(id);
@@ -161,6 +168,10 @@
                 for ix in self.jobs.indexes() {
                     self.link(ix);
                 }
+                for (id, piece, stamp) in std::mem::take(&mut self.restore.inline) {
+                    let Some(ix) = self.share_job(&id) else { continue };
+                    self.load_inline(ix, &piece, stamp);
+                }
                 Phase::Shares
             }
             Phase::Shares => {
@@ -177,6 +188,16 @@
         self.restore_next();
     }
 
+    fn load_inline(&mut self, ix: JobIx, piece: &SharePiece, stamp: u64) {
+        match open_inline(piece, stamp) {
+            Some(share) => self.load_chunk(ix, 0, share),
+            None => {
+                let key = self.jobs.get(ix).map(|j| job_key(&j.id));
+                self.broken_share(ix, &key.unwrap_or_default())
+            }
+        }
+    }
+
     /// A share that can't be read, or lacks a piece: its job stops, and no other.
     fn broken_share(&mut self, ix: JobIx, key: &str) {
         tracing::error!(key, "a share can't be read; its job is left alone");
@@ -235,7 +256,7 @@
     /// Takes a share into memory. Every machine that it names may hold the task,
     /// unless this owner wrote it and so knows better.
     pub(crate) fn load_chunk(&mut self, ix: JobIx, chunk: u32, share: GatheredShare) {
-        let GatheredShare { record, stamp, of, .. } = share;
+        let GatheredShare { record, stamp, of, inline, .. } = share;
         let own = record.epoch == self.epoch();
         let Some(job) = self.jobs.get(ix) else { return };
         if chunk >= job.chunk_count() || job.chunks.contains_key(&chunk) {
@@ -248,8 +269,8 @@
         }
         let (len, zone_rule) = (job.chunk_len(chunk), job.spec.together);
         let mut fresh = self.new_chunk(len);
-        (fresh.stamp, fresh.version, fresh.acked) = (stamp, 0, 0);
-        fresh.pieces = of;
+        (fresh.version, fresh.acked, fresh.inline) = (0, 0, inline);
+        (fresh.stamp, fresh.pieces) = if inline { (0, 0) } else { (stamp, of) };
         let machines: Vec<MachineIx> = record.machines.iter().map(|n| self.machine(n)).collect();
         let zones = self.cfg.platform.params.zones.clone();
         let zone_of = |i: u32| {
@@ -354,6 +375,8 @@
         if record.status != RecordedStatus::Live || self.finals.get(id).is_some() {
             return None;
         }
+        let mut record = record;
+        let share = record.share.take();
         let ix = self.insert_recorded(record, stamp)?;
         tracing::info!(job = %id, "found on record");
         // Its shares, if there are any, were written by us and never acted on.
@@ -361,6 +384,9 @@
             (j.state, j.busy) = (JobState::Recording, true);
         }
         self.link(ix);
+        if let Some(piece) = share {
+            self.load_inline(ix, &piece, stamp);
+        }
         self.read_shares(ix);
         Some(ix)
     }
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -17,6 +17,7 @@
     decode, encode, job_key, piece_keys, read_share, share_key, GatheredShare, JobRecord,
     RecordedStatus, VIEW,
 };
+use crate::shares::Placed;
 use crate::Outcome;
 
 /// One record in a write.
@@ -25,8 +26,8 @@
     Chunk {
         job: JobIx,
         chunk: u32,
-        /// Keys over which the record is spread from now on.
-        pieces: u32,
+        /// Where the record stands from now on.
+        placed: Placed,
     },
     /// The job's end, together with the removal of its shares.
     End {
@@ -243,9 +244,12 @@
                 continue;
             };
             let ended = matches!(job.state, JobState::Done | JobState::Finishing);
+            // What stands names every machine that may hold a task of it: nothing starts any
+            // more, and the end says the rest.
+            let cancelled = |c: &Chunk| job.state == JobState::Aborted && c.stamp == 0;
             // A chunk that is wholly done is folded, which says it all.
             let folds = |c: &Chunk| c.stamp > 0 && c.whole() && self.may_fold(job);
-            let dirty = |c: &&Chunk| c.dirty && !ended && !folds(c);
+            let dirty = |c: &&Chunk| c.dirty && !ended && !folds(c) && !cancelled(c);
             let Some(c) = job.chunks.get(&chunk).filter(dirty) else {
                 self.store.dirty.remove(&(ix, chunk));
                 continue;
@@ -263,7 +267,7 @@
             let id = job.id.clone();
             let Some(share) = self.share_write(ix, chunk) else { continue };
             if share.oversize || share.changes() > most {
-                tracing::error!(job = %id, chunk, bytes = share.bytes, pieces = share.pieces,
+                tracing::error!(job = %id, chunk, bytes = share.bytes, pieces = share.placed.pieces,
                     "a share is too large for the state service's limits; it is put off");
                 self.put_off(ix, Some(chunk));
                 continue;
@@ -276,16 +280,14 @@
                 break;
             }
             bytes += share.bytes + 200;
-            let pieces = share.pieces;
+            let placed = share.placed;
             let for_starts = matches!(urgency, Urgency::Pressing(_) | Urgency::Guest);
             let purpose = if for_starts { Purpose::Deal } else { Purpose::Ends };
             self.store.note(purpose, share.changes());
             share.enter(&id, chunk, &mut txn.guards, &mut txn.apply);
-            if let Some(c) = self.jobs.get_mut(ix).and_then(|j| j.chunks.get_mut(&chunk)) {
-                (c.dirty, c.busy) = (false, true);
-            }
+            self.chunk_sent(ix, chunk, placed);
             self.store.dirty.remove(&(ix, chunk));
-            items.push(FlushItem::Chunk { job: ix, chunk, pieces });
+            items.push(FlushItem::Chunk { job: ix, chunk, placed });
         }
         self.weigh_supply(left_behind);
         let inbox: Vec<String> = self.store.inbox.iter().cloned().collect();
@@ -314,6 +316,14 @@
         self.state_call("POST", "/multi".into(), to_cbor(&txn), pending);
     }
 
+    /// A chunk's record is to be written soon: tasks may start once it stands.
+    pub(crate) fn press(&mut self, job: JobIx, chunk: u32) {
+        if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
+            c.pressing = true;
+        }
+        self.mark_dirty(job, chunk);
+    }
+
     /// A chunk with tasks that could start once it is written.
     fn pressing(&self, (job, chunk): (JobIx, u32)) -> bool {
         self.jobs.get(job).and_then(|j| j.chunks.get(&chunk)).is_some_and(|c| c.pressing)
@@ -398,6 +408,7 @@
                 at_ms: job.at_ms,
                 done_chunks: Vec::new(),
                 service: job.spec.shape == Shape::Service && self.has(Feature::ServiceMark),
+                share: None,
             };
             let key = job_key(&job.id);
             txn.guards.push(Guard { path: key.clone(), stamp: job.stamp });
@@ -531,11 +542,8 @@
 
     fn written(&mut self, item: FlushItem, rev: u64) {
         match item {
-            FlushItem::Chunk { job, chunk, pieces } => {
-                if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
-                    (c.busy, c.acked, c.stamp) = (false, c.version, rev);
-                    c.pieces = pieces;
-                }
+            FlushItem::Chunk { job, chunk, placed } => {
+                self.chunk_stands(job, chunk, placed, rev);
                 self.touch_probed(job);
                 self.preempt_due = true;
                 self.deal_due = true;
@@ -588,10 +596,12 @@
     }
 
     /// Not executed: memory is still ahead.
-    fn unwritten(&mut self, item: FlushItem) {
+    pub(crate) fn unwritten(&mut self, item: FlushItem) {
         match item {
-            FlushItem::Chunk { job, chunk, .. } => {
-                if let Some(c) = self.jobs.get_mut(job).and_then(|j| j.chunks.get_mut(&chunk)) {
+            FlushItem::Chunk { job, chunk, placed } => {
+                let Some(j) = self.jobs.get_mut(job) else { return };
+                j.busy &= !placed.own;
+                if let Some(c) = j.chunks.get_mut(&chunk) {
                     // It may have held what tasks wait for.
                     (c.busy, c.pressing) = (false, true);
                 }
@@ -611,20 +621,24 @@
     }
 
     /// Reads a record whose stamp is no longer sure.
-    fn restamp(&mut self, item: FlushItem) {
+    pub(crate) fn restamp(&mut self, item: FlushItem) {
         if let FlushItem::Inbox(path) = &item {
             return self.store.clear_inbox(path.clone());
         }
         // Shares that an end or a fold removes are looked at as well.
         if let FlushItem::End { job, chunks } | FlushItem::Fold { job, chunks } = &item {
             for &chunk in chunks {
-                self.restamp(FlushItem::Chunk { job: *job, chunk, pieces: 0 });
+                let placed = Placed::default();
+                self.restamp(FlushItem::Chunk { job: *job, chunk, placed });
             }
         }
-        if let FlushItem::Chunk { job, chunk, .. } = &item {
+        if let FlushItem::Chunk { job, chunk, placed } = &item {
             if let Some(c) = self.jobs.get_mut(*job).and_then(|j| j.chunks.get_mut(chunk)) {
                 c.busy = true;
             }
+            if placed.own {
+                self.restamp_job(*job);
+            }
         }
         self.read_stamp(item);
     }
@@ -680,6 +694,9 @@
                 };
                 if let Some(j) = self.jobs.get_mut(job) {
                     (j.busy, j.stamp) = (false, pair.stamp);
+                    if let Some(c) = j.chunks.get_mut(&0) {
+                        c.inline = record.share.is_some();
+                    }
                     j.done_chunks = record.done_chunks;
                     // A fold that came to stand unseen has taken its share away.
                     for (a, b) in &j.done_chunks {
--- a/crates/core/tests/stories/main.rs
+++ b/crates/core/tests/stories/main.rs
@@ -2,6 +2,7 @@
 //! the rules. Each says what it guards.
 
 mod chains;
+mod inline;
 mod rolls;
 mod upgrade;
 mod world;
--- a/crates/core/tests/stories/world.rs
+++ b/crates/core/tests/stories/world.rs
@@ -77,6 +77,8 @@
 
 #[derive(Default)]
 pub struct StateService {
+    /// Writes that switch something on are held until all cuts end.
+    pub hold_steps: bool,
     pub keys: BTreeMap<String, (ciborium::value::Value, u64, Option<u64>)>,
     pub rev: u64,
     log: Vec<ChangeEvent>,
@@ -215,6 +217,8 @@
     pub named: BTreeMap<usize, usize>,
     /// Revision at which each controller was last started.
     born_rev: Vec<u64>,
+    /// Who sent the step that is being applied.
+    stepping: Option<usize>,
     pub seed: u64,
 }
 
@@ -322,6 +326,7 @@
             withhold: BTreeMap::new(),
             named: BTreeMap::new(),
             born_rev: vec![0; nodes],
+            stepping: None,
             seed,
         };
         for n in 0..nodes {
@@ -510,6 +515,11 @@
         key.map_or(StandingRecord::first(), |(v, _, _)| v.deserialized().unwrap())
     }
 
+    /// Writes that are held.
+    pub fn steps_held(&self) -> usize {
+        self.held.len()
+    }
+
     /// Replaces a controller by one of another build: away for a moment, then back.
     pub fn replace(&mut self, n: usize, table: &'static Table, ms: u64) {
         self.old.remove(&n);
@@ -986,6 +996,13 @@
                 let ms = late.map_or(1, |(_, ms)| ms);
                 return self.after(ms, Msg::Outcome { node: from, life, call: call.id, outcome });
             }
+            let step = |c: &Change| matches!(c, Change::Set { set, .. } if set == FORMAT);
+            if self.state.hold_steps && txn.apply.iter().any(step) {
+                return self.held.push((from, life, call));
+            }
+            if txn.apply.iter().any(step) {
+                self.stepping = Some(from);
+            }
             let answer = self.transact(txn);
             if self.state.swallow_answers > 0 {
                 self.state.swallow_answers -= 1;
@@ -1138,6 +1155,10 @@
             let new = read(value);
             let steps = new.version - old.version.min(new.version)
                 + new.features.difference(&old.features).count() as u32;
+            if self.stepping != self.leader() {
+                self.breaches
+                    .push(format!("{new:?} was set by {:?}, not the leader", self.stepping));
+            }
             if !new.covers(&old) || steps != 1 {
                 self.breaches.push(format!("{new:?} was set over {old:?}"));
             }
--- a/crates/ladder/src/table.rs
+++ b/crates/ladder/src/table.rs
@@ -18,6 +18,8 @@
     ServiceMark,
     /// The state service's limits to come are kept, since they come without notice.
     LowLimits,
+    /// The share of a job of one chunk stands in the job's own record where it fits.
+    InlineShares,
 }
 
 impl Feature {
@@ -68,12 +70,18 @@
 
 /// What this build knows. A new step is a new entry here.
 pub static TABLE: Table = Table {
-    versions: &[VersionEntry {
-        number: 2,
-        name: "format-2",
-        changes:
-            "records name the jobs that a job needs; shares are packed and may take several keys",
-    }],
+    versions: &[
+        VersionEntry {
+            number: 2,
+            name: "format-2",
+            changes: "records name the jobs that a job needs; shares are packed, over several keys",
+        },
+        VersionEntry {
+            number: 3,
+            name: "format-3",
+            changes: "the record of a job of up to 64 tasks names their machines, where they fit",
+        },
+    ],
     features: &[
         FeatureEntry {
             name: "chains",
@@ -99,6 +107,12 @@
             needs: &["pieces"],
             changes: "the lower of the state service's present and announced limits are kept",
         },
+        FeatureEntry {
+            name: "inline-shares",
+            comes: Comes::With(3),
+            needs: &["pieces"],
+            changes: "a job of one chunk is accepted, dealt and ended with one change each time",
+        },
     ],
 };
 
--- a/crates/ladder/tests/ladder.rs
+++ b/crates/ladder/tests/ladder.rs
@@ -64,6 +64,26 @@
     assert!(unknown.to_string().contains("format-2"), "{unknown}");
 }
 
+/// Guards what is on against a read that is older than the step, and against one that
+/// shows something else: what stands only grows.
+#[test]
+fn an_older_read_changes_nothing() {
+    let mut ladder = Ladder::new(&NEW, BTreeSet::new());
+    let at = |version, names: &[&str]| {
+        let features = names.iter().map(|n| n.to_string()).collect();
+        Stands::At(StandingRecord { version, features })
+    };
+    assert!(ladder.stands_to(at(3, &["a"]), 7));
+    for older in [at(2, &[]), at(3, &[]), at(4, &["b"]), Stands::Unknown] {
+        assert!(!ladder.stands_to(older, 5));
+    }
+    assert!(ladder.has("a") && ladder.version() == 3 && ladder.stamp() == 7);
+    assert!(ladder.stands_to(at(4, &["a"]), 9));
+    assert!(ladder.has("c"), "comes with version 4");
+    assert!(ladder.stands_to(Stands::Foreign("x".into()), 9));
+    assert!(!ladder.stands_to(at(4, &["a", "b"]), 10) && !ladder.has("a"));
+}
+
 /// Guards operators' reading of a hold: which controller, why, since when; the time goes on
 /// counting while the reason changes.
 #[test]
