--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -18,7 +18,7 @@
 use crate::latency::Span;
 use crate::polls::live_answer;
 use crate::records::{
-    checked_size, decode, encode, inbox_key, job_key, JobRecord, RecordedStatus, INBOX,
+    checked_size, decode, encode, inbox_key, job_key, page_key, JobRecord, RecordedStatus, INBOX,
 };
 use crate::shares::{Placed, ShareWrite};
 use crate::store::{FlushItem, Purpose};
@@ -217,15 +217,38 @@
         }
     }
 
-    fn record_alone(&mut self, id: RequestId, spec: JobSpec, cancelled: bool) {
+    pub(crate) fn on_alone_read(
+        &mut self,
+        id: RequestId,
+        spec: JobSpec,
+        cancelled: bool,
+        outcome: Outcome,
+    ) {
+        match self.read_outcome(outcome) {
+            // No page that was looked through holds it; none may have come since.
+            Ok(None) => self.record_alone(id, spec, cancelled, Some(self.pages.looked_last + 1)),
+            Ok(Some(pair)) => self.answer_record(id, &spec.id, pair),
+            Err(()) => self.answer_busy(id),
+        }
+    }
+
+    fn record_alone(
+        &mut self,
+        id: RequestId,
+        spec: JobSpec,
+        cancelled: bool,
+        no_page: Option<u64>,
+    ) {
         let now = self.now.steady_ms;
         if !self.store.writes.take(now, 2.0, 0.0) {
             return self.answer_busy(id);
         }
         let job = spec.id.clone();
         let record = self.job_record(spec);
+        let mut guards = vec![Guard { path: job_key(&job), stamp: 0 }];
+        guards.extend(no_page.map(|n| Guard { path: page_key(n), stamp: 0 }));
         let body = to_cbor(&Transaction {
-            guards: vec![Guard { path: job_key(&job), stamp: 0 }],
+            guards,
             apply: vec![
                 Change::Set { set: job_key(&job), value: encode(&record), permit: None },
                 Change::Set { set: inbox_key(&job), value: encode(&false), permit: None },
@@ -278,6 +301,11 @@
             }
             Outcome::Answer(r) if r.status == 409 => {
                 self.state_answered();
+                let failed = from_cbor::<TransactionAnswer>(&r.body).map(|a| a.failed);
+                // A page has come meanwhile, of this job or of others.
+                if !failed.is_ok_and(|f| f.contains(&job_key(&job))) {
+                    return self.answer_busy(id);
+                }
                 self.read_job(id, &job, Pending::Poll { request: id, id: job.clone() });
             }
             Outcome::Answer(r) => {
@@ -311,6 +339,10 @@
 
     /// A job that memory knows: what stands is told.
     fn submitted_before(&mut self, id: RequestId, spec: &JobSpec) -> bool {
+        if self.pages.unreadable(&spec.id) {
+            self.answer_busy(id);
+            return true;
+        }
         if let Some(job) = self.jobs.find(&spec.id).and_then(|ix| self.jobs.get(ix)) {
             // While the first submission is being recorded, a second can't be told more.
             match job.state {
@@ -325,13 +357,25 @@
     /// Takes a submission all of whose dependencies were accepted.
     pub(crate) fn submit_admitted(&mut self, id: RequestId, spec: JobSpec, cancelled: bool) {
         if !self.leads() {
-            return self.record_alone(id, spec, cancelled);
+            if !self.has(Feature::SharedPages) {
+                return self.record_alone(id, spec, cancelled, None);
+            }
+            // It may stand in a page: it is looked for first.
+            let job = spec.id.clone();
+            let pending = Pending::AloneRead { request: id, spec: Box::new(spec), cancelled };
+            return self.read_job(id, &job, pending);
         }
         let now = self.now.steady_ms;
         if self.submitted_before(id, &spec) {
             return;
         }
         let Some(team) = self.cfg.team(&spec.team) else { return self.answer_busy(id) };
+        if !cancelled && self.shares_page(&spec) {
+            if !self.take_in(id, spec, team) {
+                self.turn_away(id);
+            }
+            return;
+        }
         if !self.may_accept(spec.rank) {
             return self.turn_away(id);
         }
@@ -437,7 +481,7 @@
         if !self.may_read() {
             return self.answer_busy(id);
         }
-        self.state_call("GET", format!("/keys/{}", job_key(job)), Vec::new(), pending);
+        self.look_up(job, pending);
     }
 
     /// What a read of a job's record says: `Ok(None)` if there is none.
--- a/crates/core/src/chains.rs
+++ b/crates/core/src/chains.rs
@@ -20,7 +20,7 @@
 use crate::controller::{Controller, Pending};
 use crate::ids::JobIx;
 use crate::jobs::{Job, JobState};
-use crate::records::{decode, job_key, JobRecord, RecordedStatus};
+use crate::records::{decode, JobRecord, RecordedStatus};
 use crate::{Outcome, RequestId};
 
 impl Job {
@@ -257,7 +257,7 @@
             }
             self.chains.unknown.insert(id.clone(), now.max(1));
             let pending = Pending::ChainRead { job: id.clone(), epoch: self.epoch() };
-            self.state_call("GET", format!("/keys/{}", job_key(&id)), Vec::new(), pending);
+            self.look_up(&id, pending);
         }
     }
 
@@ -450,7 +450,7 @@
                 return self.answer_busy(request);
             }
             let pending = Pending::WalkRead { request, job: id.clone() };
-            self.state_call("GET", format!("/keys/{}", job_key(&id)), Vec::new(), pending);
+            self.look_up(&id, pending);
         }
         if self.chains.walks.get(&request).is_none_or(|w| w.reading > 0) {
             return;
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -30,6 +30,8 @@
     /// Whether this controller agrees to format 2 of the records, and so to any later one.
     /// Once all do, the version before can't be put back.
     pub new_format: bool,
+    /// Acceptances share records while less than this part of a second's changes is left.
+    pub share_pages_below: f64,
     /// Names of steps, formats or features, that this controller does not agree to.
     pub withhold: Vec<String>,
 }
@@ -45,7 +47,9 @@
             idle_ratio: 0.5,
             warm_share: 0.1,
             new_format: true,
-            withhold: Vec::new(),
+            share_pages_below: 0.5,
+            // Costs the leader too much processor in a flood; see `docs/rollout.md`.
+            withhold: vec!["format-4".into()],
         }
     }
 }
@@ -68,6 +72,7 @@
         range("slack_cap", self.slack_cap as f64, 0.0, 1e6)?;
         range("idle_ratio", self.idle_ratio, 0.0, 1e4)?;
         range("warm_share", self.warm_share, 0.0, 10.0)?;
+        range("share_pages_below", self.share_pages_below, 0.0, 1.0)?;
         TABLE.check_steps(&self.withhold).map_err(|unknown| SettingsError {
             field: "withhold".into(),
             problem: unknown.to_string(),
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -21,6 +21,7 @@
 use crate::latency::{Latencies, Span};
 use crate::machines::{Machines, Room};
 use crate::member::{Member, Role};
+use crate::pages::{LookUp, Pages};
 use crate::pause::Pause;
 use crate::polls::{Compared, Polls};
 use crate::post::PostBox;
@@ -64,6 +65,12 @@
     MembersRead,
     Step { record: StandingRecord, epoch: u64 },
     Poll { request: RequestId, id: String },
+    AloneRead { request: RequestId, spec: Box<JobSpec>, cancelled: bool },
+    LookFirst(LookUp),
+    LookLast(LookUp),
+    PageScan,
+    PageWrite { number: u64, epoch: u64 },
+    PageRead { number: u64, epoch: u64 },
     Compare { compared: Compared, epoch: u64 },
     Forward { request: RequestId, sibling: usize, work: Box<UserWork> },
     Beat { sibling: usize },
@@ -134,6 +141,8 @@
     pub(crate) latencies: Latencies,
     pub(crate) keeper: Keeper,
     pub(crate) polls: Polls,
+    pub(crate) pages: Pages,
+    pub(crate) pages_retry: Vec<u64>,
     pub(crate) post: PostBox,
     /// Workers of other zones: since when they report here, and when they were last sent
     /// to the leader.
@@ -198,6 +207,8 @@
             latencies: Latencies::new(),
             keeper: Keeper::new(),
             polls: Polls::default(),
+            pages: Pages::default(),
+            pages_retry: Vec::new(),
             post: PostBox::default(),
             strays: HashMap::new(),
             pause: Pause::new(),
@@ -285,6 +296,7 @@
             self.drain();
             self.retry_reads();
             self.retry_inbox();
+            self.retry_pages();
             self.deal_due = true;
             self.touch_waiting();
             self.log_pulse();
@@ -303,6 +315,7 @@
             return;
         }
         self.settle_chains();
+        self.flush_intake();
         if std::mem::take(&mut self.drain_due) {
             self.drain();
         }
@@ -330,7 +343,7 @@
         self.flush();
     }
 
-    fn on_outcome(&mut self, pending: Pending, outcome: Outcome) {
+    pub(crate) fn on_outcome(&mut self, pending: Pending, outcome: Outcome) {
         let current = self.epoch();
         match pending {
             Pending::LeaseNew { sent_ms } => self.on_lease_new(sent_ms, outcome),
@@ -360,6 +373,12 @@
             }
             Pending::Compare { compared, epoch } => self.on_compare(compared, epoch, outcome),
             Pending::Poll { request, id } => self.on_poll_read(request, id, outcome),
+            Pending::AloneRead { request, spec, cancelled } => {
+                self.on_alone_read(request, *spec, cancelled, outcome)
+            }
+            Pending::LookFirst(look) => self.on_look_first(look, outcome),
+            Pending::LookLast(look) => self.on_look_last(look, outcome),
+            Pending::PageScan => self.on_page_scan(outcome),
             Pending::Forward { request, sibling, work } => {
                 self.on_forwarded(request, sibling, *work, outcome)
             }
@@ -383,6 +402,8 @@
             // What follows concerns a memory that is gone if the epoch has changed.
             Pending::Restore { epoch }
             | Pending::InboxWatch { epoch, .. }
+            | Pending::PageWrite { epoch, .. }
+            | Pending::PageRead { epoch, .. }
             | Pending::InboxRead { epoch, .. }
             | Pending::ReadAgain { epoch, .. }
             | Pending::ChainRead { epoch, .. }
@@ -397,6 +418,8 @@
             Pending::InboxWatch { sent_ms, .. } => self.on_inbox_watch(sent_ms, outcome),
             Pending::ChainRead { job, .. } => self.on_chain_read(job, outcome),
             Pending::ReadAgain { job, .. } => self.on_read_again(job, outcome),
+            Pending::PageWrite { number, .. } => self.on_page_write(number, outcome),
+            Pending::PageRead { number, .. } => self.on_page_read(number, outcome),
             Pending::InboxRead { job, .. } => self.on_inbox_read(job, outcome),
             Pending::Orders { machine, token, starts } => {
                 if crate::ids::epoch_of(token) == current {
@@ -466,6 +489,7 @@
 
     pub(crate) fn forget_leadership(&mut self) {
         self.drop_polls();
+        self.forget_pages();
         self.jobs = Jobs::default();
         self.machines = Machines::default();
         self.teams.iter_mut().for_each(|t| *t = TeamUse::default());
--- a/crates/core/src/format.rs
+++ b/crates/core/src/format.rs
@@ -98,7 +98,10 @@
             return;
         }
         self.format.asking = true;
-        self.format.due_ms = now + self.cfg.renew_every_ms();
+        // Without our consent nothing comes: a look now and then shows who else holds it.
+        let hopeful = ladder.hopeful();
+        self.format.due_ms =
+            now + if hopeful { self.cfg.renew_every_ms() } else { self.cfg.lease_ms() };
         let target = format!("/keys?starts={FORMAT}");
         self.state_call("GET", target, Vec::new(), Pending::FormatRead);
     }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -151,6 +151,10 @@
     pub done_chunks: Vec<(u32, u32)>,
     /// A write or a read of the job's own record is under way.
     pub busy: bool,
+    /// Page that holds it, unless it has a record of its own.
+    pub page: Option<u64>,
+    /// It is in a page and is to get a record of its own.
+    pub own: bool,
     /// Zone fixed for the whole job (`together`).
     pub zone: Option<u16>,
     pub done: u32,
@@ -338,6 +342,8 @@
             chunks: BTreeMap::new(),
             done_chunks: Vec::new(),
             busy: false,
+            page: None,
+            own: false,
             zone: None,
             done: 0,
             on: 0,
--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -16,7 +16,7 @@
 use crate::controller::{Controller, Pending};
 use crate::ids::{epoch_of, in_epoch, parse_task};
 use crate::member::Role;
-use crate::records::{decode, encode, job_key, JobRecord, RecordedStatus, KEEPERS, VIEW};
+use crate::records::{decode, encode, JobRecord, RecordedStatus, KEEPERS, VIEW};
 use crate::{Outcome, RequestId};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -211,8 +211,8 @@
         }
         let known = self.keeper.jobs.entry(job.clone());
         known.or_insert(Known { live: true, as_of_ms: 0, asked_ms: 0 }).asked_ms = now;
-        let target = format!("/keys/{}", job_key(&job));
-        self.state_call("GET", target, Vec::new(), Pending::KeepRead { job, sent_ms: now });
+        let pending = Pending::KeepRead { job: job.clone(), sent_ms: now };
+        self.look_up(&job, pending);
     }
 
     pub(crate) fn on_keep_read(&mut self, job: String, sent_ms: u64, outcome: Outcome) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 mod machines;
 mod member;
 mod metrics;
+mod pages;
 mod pause;
 mod polls;
 mod post;
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -86,6 +86,8 @@
         }
         put("writes_short", f64::from(u8::from(self.admission.short())));
         put("turned_away", self.admission.turned.all() as f64);
+        put("pages", self.pages.count() as f64);
+        put("pages_jobs", self.pages.members() as f64);
         put("records_behind", self.store.behind() as f64);
         for (constraint, ratio) in self.ratios.named() {
             put(&format!("ratio.{constraint}"), ratio);
--- /dev/null
+++ b/crates/core/src/pages.rs
@@ -0,0 +1,731 @@
+//! Jobs that share a record: while changes are scarce, what is accepted within a moment is
+//! recorded together, with its deals, in one value, a page.
+//!
+//! - A page is written by the leader alone, under its view, and holds live jobs only. **A
+//!   job's own record goes ahead of its page**: a job leaves its page by getting one (its
+//!   end, its cancellation, by whomever, or when it outgrows the page), and what the page
+//!   still says of it then counts for nothing. So no write of one job stands in the way of
+//!   its neighbours', and a follower needs no page to cancel a job.
+//! - Pages are numbered one after another, none is skipped, none added to, and the last is
+//!   never deleted. An acceptance past the leader is guarded by there being no page after
+//!   the last that was looked through: no job is accepted twice.
+//! - Whoever finds no record of a job looks through all pages, then for the record once
+//!   more. All who ask meanwhile share the next look.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use quartzgate_ladder::Feature;
+use quartzgate_wire::http::Response;
+use quartzgate_wire::msg::{
+    Change, Guard, JobSpec, Pair, PairList, Shape, Transaction, TransactionAnswer,
+};
+use quartzgate_wire::{from_cbor, to_cbor};
+
+use crate::controller::{Controller, Pending};
+use crate::ids::JobIx;
+use crate::jobs::JobState;
+use crate::records::{
+    checked_size, decode, encode, inline_piece, job_key, page_key, page_number, JobRecord,
+    PageRecord, PAGES, VIEW,
+};
+use crate::shares::Placed;
+use crate::store::Purpose;
+use crate::{Outcome, RequestId};
+
+/// How a page stands to its record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PageState {
+    /// The record as memory knows it stands.
+    Stands,
+    /// It is being written for the first time.
+    Creating,
+    /// It is being written again.
+    Writing,
+    /// What stands is not known, and is being read; `new` if it may never have stood.
+    Reading { new: bool },
+}
+
+#[derive(Debug)]
+struct Page {
+    state: PageState,
+    stamp: u64,
+    /// Jobs that have no record of their own yet.
+    members: BTreeSet<JobIx>,
+    /// Who waits for the acceptance of which.
+    asked: Vec<(RequestId, JobIx)>,
+    /// A write that makes it got no answer: it may still come.
+    doubt: bool,
+    /// Something in it can't be read: it is never written nor taken away.
+    sealed: bool,
+}
+
+/// A question about a job's record that goes through the pages as well.
+#[derive(Debug)]
+pub(crate) struct LookUp {
+    job: String,
+    found: Option<JobRecord>,
+    /// It stands in a page, and can't be read there.
+    damaged: bool,
+    /// The last page that was there.
+    last: u64,
+    then: Box<Pending>,
+}
+
+/// One look through all pages, for all who ask.
+#[derive(Debug, Default)]
+struct Scan {
+    wanted: Vec<LookUp>,
+    last: u64,
+    since: Option<String>,
+    /// A page can't be read: nobody can say of a job that it was never accepted.
+    damaged: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct Pages {
+    map: BTreeMap<u64, Page>,
+    last: u64,
+    /// Submissions that wait for the next page, and since when.
+    intake: Vec<(RequestId, JobIx)>,
+    since_ms: u64,
+    /// A page was opened then: the next acceptances join as well.
+    opened_ms: Option<u64>,
+    scan: Option<Scan>,
+    /// Who asked after the present look began.
+    queue: Vec<LookUp>,
+    /// The last page of the look that answered last.
+    pub looked_last: u64,
+    /// Jobs that can't be read in their pages.
+    unreadable: BTreeSet<String>,
+}
+
+/// Questions that wait for a look through the pages.
+const LOOKS_MOST: usize = 1_000;
+/// Pages read at a time.
+const SCAN_PAGE: u32 = 60;
+/// Jobs in pages at a time: their ends take a change each, for so many seconds.
+const ENDS_S: f64 = 120.0;
+/// What a task of a page may come to take once it is dealt: two names and their places.
+const TASK_BYTES: usize = 44;
+const SHARE_BYTES: usize = 190;
+
+impl Page {
+    fn new(state: PageState, stamp: u64) -> Page {
+        let (members, asked) = (BTreeSet::new(), Vec::new());
+        Page { state, stamp, members, asked, doubt: false, sealed: false }
+    }
+}
+
+impl Pages {
+    pub fn count(&self) -> usize {
+        self.map.len()
+    }
+
+    pub fn members(&self) -> usize {
+        self.map.values().map(|p| p.members.len()).sum()
+    }
+
+    /// A page that stands on record, as a new leader reads it.
+    pub fn restore(&mut self, number: u64, stamp: u64) {
+        self.map.insert(number, Page::new(PageState::Stands, stamp));
+        self.last = self.last.max(number);
+    }
+
+    pub fn join(&mut self, number: u64, job: JobIx) {
+        if let Some(page) = self.map.get_mut(&number) {
+            page.members.insert(job);
+        }
+    }
+
+    /// Something in a page can't be read: a job, or all of it.
+    pub fn seal(&mut self, number: u64, job: Option<String>) {
+        if let Some(page) = self.map.get_mut(&number) {
+            page.sealed = true;
+        }
+        self.unreadable.extend(job);
+    }
+
+    pub fn unreadable(&self, id: &str) -> bool {
+        self.unreadable.contains(id)
+    }
+
+    fn busy(&self, number: u64) -> bool {
+        self.map.get(&number).is_none_or(|p| p.state != PageState::Stands)
+    }
+
+    /// The one function that changes a page's state.
+    fn page_to(&mut self, number: u64, state: PageState) {
+        if let Some(page) = self.map.get_mut(&number) {
+            page.state = state;
+        }
+    }
+}
+
+impl Controller {
+    /// Whether a submission is to share a record.
+    pub(crate) fn shares_page(&mut self, spec: &JobSpec) -> bool {
+        if !self.has(Feature::SharedPages)
+            || spec.shape != Shape::Array
+            || !spec.dependencies.is_empty()
+        {
+            return false;
+        }
+        let now = self.now.steady_ms;
+        let small = self.full_size(spec) * 3 <= self.value_most();
+        let rate = self.store.writes.rate();
+        let below = self.cfg.operator.share_pages_below;
+        let crowded = self.admission.short()
+            || !self.pages.intake.is_empty()
+            || self.pages.opened_ms.is_some_and(|o| now < o + 2 * self.cfg.batch_ms())
+            || self.store.writes.room(now, 0.0) < below * rate
+            || below >= 1.0;
+        small && crowded
+    }
+
+    /// What a job may come to take of a page.
+    fn full_size(&self, spec: &JobSpec) -> usize {
+        checked_size(spec) + SHARE_BYTES + TASK_BYTES * spec.tasks as usize
+    }
+
+    /// Takes a submission for the next page; false if there are too many already.
+    pub(crate) fn take_in(&mut self, id: RequestId, spec: JobSpec, team: usize) -> bool {
+        let most = self.store.writes.rate() * ENDS_S;
+        if self.pages.members() + self.pages.intake.len() >= most as usize {
+            return false;
+        }
+        let at_ms = self.now.wall_ms;
+        let job = self.new_job(spec, team, JobState::Recording, 0, at_ms);
+        let ix = self.jobs.insert(job);
+        if self.pages.intake.is_empty() {
+            self.pages.since_ms = self.now.steady_ms;
+        }
+        self.pages.intake.push((id, ix));
+        true
+    }
+
+    /// Records what has been taken in, once a little has come together.
+    pub(crate) fn flush_intake(&mut self) {
+        let now = self.now.steady_ms;
+        let waited = now.saturating_sub(self.pages.since_ms);
+        let most = self.page_guards();
+        let many = self.pages.intake.len() >= most;
+        if self.pages.intake.is_empty() || !many && waited < self.cfg.batch_ms() / 2 {
+            return;
+        }
+        if !self.store.writes.take(now, 1.0, 0.0) {
+            // Whoever can't be recorded soon is told at once.
+            if waited > 2 * self.cfg.batch_ms() {
+                for (id, ix) in std::mem::take(&mut self.pages.intake) {
+                    self.drop_job(ix);
+                    self.turn_away(id);
+                }
+            }
+            return;
+        }
+        let number = self.pages.last + 1;
+        let (mut size, mut asked) = (0, Vec::new());
+        let intake = std::mem::take(&mut self.pages.intake);
+        let mut left = intake.into_iter().peekable();
+        while let Some((_, ix)) = left.peek() {
+            let Some(job) = self.jobs.get(*ix) else {
+                left.next();
+                continue;
+            };
+            let bytes = self.full_size(&job.spec) - self.spared(&job.spec, asked.first());
+            if asked.len() >= most || size + bytes > self.value_most() && !asked.is_empty() {
+                break;
+            }
+            size += bytes;
+            asked.extend(left.next());
+        }
+        self.pages.intake = left.collect();
+        self.pages.opened_ms = Some(now);
+        if asked.is_empty() {
+            return self.store.writes.force(now, -1.0);
+        }
+        let members: BTreeSet<JobIx> = asked.iter().map(|(_, ix)| *ix).collect();
+        let backlog = self.backlog();
+        for ix in &members {
+            let Some(job) = self.jobs.get_mut(*ix) else { continue };
+            job.page = Some(number);
+            if !backlog.full(job.rank) {
+                self.deal_job(*ix);
+            }
+        }
+        self.pages.last = number;
+        let page = Page { members, asked, ..Page::new(PageState::Creating, 0) };
+        self.pages.map.insert(number, page);
+        self.write_page(number);
+    }
+
+    /// Jobs that a page may hold: each is a condition of the write that makes it.
+    fn page_guards(&self) -> usize {
+        (4 * self.limits().txn_ops).saturating_sub(4).max(1)
+    }
+
+    /// What a job's description saves in a page by its likeness to the first.
+    fn spared(&self, spec: &JobSpec, first: Option<&(RequestId, JobIx)>) -> usize {
+        let like = first.and_then(|(_, ix)| self.jobs.get(*ix));
+        like.map_or(0, |j| checked_size(spec).saturating_sub(PageRecord::differs(&j.spec, spec)))
+    }
+
+    /// A page as memory has it now, and its jobs. If they don't fit any more, the largest is
+    /// to get a record of its own, and the page waits until it has one: a job that stands
+    /// nowhere else is never left out. Of a new page it is not accepted yet, and goes.
+    fn page_record(&mut self, number: u64) -> Option<(PageRecord, Vec<JobIx>)> {
+        let page = self.pages.map.get(&number)?;
+        let new = page.stamp == 0;
+        let mut members: Vec<JobIx> = page.members.iter().copied().collect();
+        if members.iter().any(|ix| self.jobs.get(*ix).is_some_and(|j| j.own)) {
+            return None;
+        }
+        let most = self.value_most();
+        loop {
+            let mut page = PageRecord::default();
+            for ix in &members {
+                let share = self.share_record(*ix, 0);
+                let Some(job) = self.jobs.get(*ix) else { continue };
+                page.add(&job.spec, job.at_ms, share.map(|s| inline_piece(&s)));
+            }
+            if checked_size(&page) <= most || members.is_empty() {
+                return Some((page, members));
+            }
+            // The largest goes; it has a share, or it would not be here.
+            let size = |ix: &JobIx| self.jobs.get(*ix).map_or(0, |j| j.spec.tasks);
+            let at = (0..members.len()).max_by_key(|at| size(&members[*at]))?;
+            let out = members.remove(at);
+            if new {
+                self.not_accepted(number, out);
+                continue;
+            }
+            if let Some(j) = self.jobs.get_mut(out) {
+                j.own = true;
+            }
+            members.push(out);
+            members.iter().for_each(|ix| self.press(*ix, 0));
+            return None;
+        }
+    }
+
+    /// A job leaves a page that was not written yet.
+    fn not_accepted(&mut self, number: u64, ix: JobIx) {
+        self.drop_job(ix);
+        let Some(page) = self.pages.map.get_mut(&number) else { return };
+        let asked = std::mem::take(&mut page.asked);
+        let (gone, still) = asked.into_iter().partition(|(_, a)| *a == ix);
+        page.asked = still;
+        let gone: Vec<(RequestId, JobIx)> = gone;
+        gone.into_iter().for_each(|(id, _)| self.answer_busy(id));
+    }
+
+    /// Writes a page, guarded by our view and by what stood of it; if it is new, by there
+    /// being no record of any of its jobs.
+    fn write_page(&mut self, number: u64) {
+        let Some((record, members)) = self.page_record(number) else { return };
+        let empty = members.is_empty();
+        if empty && self.pages.map.get(&number).is_some_and(|p| p.stamp == 0 && !p.doubt) {
+            return self.undo_page(number);
+        }
+        let Some(page) = self.pages.map.get(&number) else { return };
+        let new = page.stamp == 0;
+        let path = page_key(number);
+        let mut guards = vec![
+            Guard { path: VIEW.into(), stamp: self.member.view_stamp },
+            Guard { path: path.clone(), stamp: page.stamp },
+        ];
+        if new {
+            let ids = members.iter().filter_map(|ix| self.jobs.get(*ix));
+            guards.extend(ids.map(|j| Guard { path: job_key(&j.id), stamp: 0 }));
+        }
+        let apply = vec![Change::Set { set: path, value: encode(&record), permit: None }];
+        for ix in &members {
+            self.chunk_sent(*ix, 0, Placed::default());
+            self.store.settled(*ix, 0);
+        }
+        self.store.note(if new { Purpose::Accept } else { Purpose::Deal }, 1);
+        let state = if new { PageState::Creating } else { PageState::Writing };
+        self.pages.page_to(number, state);
+        let body = to_cbor(&Transaction { guards, apply });
+        let pending = Pending::PageWrite { number, epoch: self.epoch() };
+        self.state_call("POST", "/multi".into(), body, pending);
+    }
+
+    /// Writes the page of a job whose share is to be recorded, if that can be done now.
+    pub(crate) fn rewrite_page(&mut self, number: u64) {
+        let sealed = self.pages.map.get(&number).is_some_and(|p| p.sealed);
+        if sealed {
+            // What can't be read would be lost: its readable jobs get records of their own.
+            for ix in self.pages.map[&number].members.clone() {
+                if let Some(j) = self.jobs.get_mut(ix) {
+                    j.own = true;
+                }
+            }
+        } else if !self.pages.busy(number) {
+            self.store.writes.force(self.now.steady_ms, 1.0);
+            self.write_page(number);
+        }
+    }
+
+    pub(crate) fn on_page_write(&mut self, number: u64, outcome: Outcome) {
+        let Some(page) = self.pages.map.get(&number) else { return };
+        let (new, doubt) = (page.stamp == 0, page.doubt);
+        let answer = match &outcome {
+            Outcome::Answer(r) => from_cbor::<TransactionAnswer>(&r.body).ok(),
+            _ => None,
+        };
+        let status = match &outcome {
+            Outcome::Answer(r) => r.status,
+            Outcome::NotSent => 503,
+            Outcome::Lost => 0,
+        };
+        match (status, answer) {
+            (200, Some(done)) => {
+                self.state_answered();
+                self.page_stands(number, done.ledger_rev);
+            }
+            (409, Some(a)) => {
+                self.state_answered();
+                if a.failed.iter().any(|p| p == VIEW) {
+                    return self.superseded();
+                }
+                if a.failed.contains(&page_key(number)) {
+                    return self.read_page(number, new);
+                }
+                self.known_elsewhere(number, &a.failed);
+            }
+            (400 | 429 | 503, _) if new && doubt => {
+                self.state_busy(status);
+                self.pages.page_to(number, PageState::Reading { new });
+                self.pages_again(number);
+            }
+            (400, _) if new => {
+                tracing::error!(number, "the state service refused a page as malformed");
+                self.undo_page(number);
+            }
+            (429 | 503, _) if new => {
+                self.state_busy(status);
+                self.take_back(number);
+            }
+            (400 | 429 | 503, _) => {
+                if status == 400 {
+                    tracing::error!(number, "the state service refused a page as malformed");
+                }
+                self.state_busy(status);
+                self.pages.page_to(number, PageState::Stands);
+                self.page_unwritten(number, status == 400);
+            }
+            _ => self.read_page(number, new),
+        }
+    }
+
+    /// The write of a page is known to stand.
+    fn page_stands(&mut self, number: u64, stamp: u64) {
+        let Some(page) = self.pages.map.get_mut(&number) else { return };
+        page.stamp = stamp;
+        let (members, asked) = (page.members.clone(), std::mem::take(&mut page.asked));
+        self.pages.page_to(number, PageState::Stands);
+        for ix in members {
+            let Some(j) = self.jobs.get_mut(ix) else { continue };
+            let recording = j.state == JobState::Recording;
+            if let Some(c) = j.chunks.get_mut(&0).filter(|c| c.busy && !j.own) {
+                (c.busy, c.acked) = (false, c.version);
+            }
+            if recording {
+                self.link(ix);
+                self.job_to(ix, JobState::Live);
+            }
+            self.touch_probed(ix);
+            self.store.touch_job(ix);
+        }
+        for (id, ix) in asked {
+            match self.jobs.get(ix) {
+                Some(j) => {
+                    let mut answer = j.answer();
+                    (answer.done, answer.running) = (None, None);
+                    self.answer(id, Response::new(201, to_cbor(&answer)))
+                }
+                None => self.answer_busy(id),
+            }
+        }
+        self.deal_due = true;
+        self.preempt_due = true;
+        self.tidy_page(number);
+    }
+
+    /// Some of a new page's jobs have records already: they are told as those say, and the
+    /// others are recorded without them.
+    fn known_elsewhere(&mut self, number: u64, failed: &[String]) {
+        let Some(page) = self.pages.map.get_mut(&number) else { return };
+        let asked = std::mem::take(&mut page.asked);
+        let mut still = Vec::new();
+        for ix in page.members.clone() {
+            let known = self.jobs.get(ix).filter(|j| failed.contains(&job_key(&j.id)));
+            let Some(id) = known.map(|j| j.id.clone()) else { continue };
+            self.drop_job(ix);
+            for (request, _) in asked.iter().filter(|(_, a)| *a == ix) {
+                self.poll(*request, id.clone());
+            }
+        }
+        still.extend(asked.into_iter().filter(|(_, ix)| self.jobs.get(*ix).is_some()));
+        let Some(page) = self.pages.map.get_mut(&number) else { return };
+        page.asked = still;
+        // A write of it that may still come needs its place taken, be it by nothing.
+        if page.members.is_empty() && !page.doubt {
+            return self.undo_page(number);
+        }
+        self.store.writes.force(self.now.steady_ms, 1.0);
+        self.write_page(number);
+    }
+
+    /// A new page was certainly not written: its number is free, and its jobs are not
+    /// accepted.
+    fn undo_page(&mut self, number: u64) {
+        let Some(page) = self.pages.map.remove(&number) else { return };
+        self.pages.last = number - 1;
+        for ix in page.members {
+            self.drop_job(ix);
+        }
+        page.asked.into_iter().for_each(|(id, _)| self.answer_busy(id));
+    }
+
+    /// A new page was certainly not written, for lack of changes: its jobs wait for the next.
+    fn take_back(&mut self, number: u64) {
+        let Some(page) = self.pages.map.remove(&number) else { return };
+        self.pages.last = number - 1;
+        let asked: BTreeSet<JobIx> = page.asked.iter().map(|(_, ix)| *ix).collect();
+        for ix in page.members {
+            if !asked.contains(&ix) {
+                self.drop_job(ix);
+                continue;
+            }
+            let Some(j) = self.jobs.get_mut(ix) else { continue };
+            j.page = None;
+            j.chunks.values_mut().for_each(|c| c.busy = false);
+        }
+        let later = std::mem::take(&mut self.pages.intake);
+        self.pages.intake = page.asked.into_iter().chain(later).collect();
+    }
+
+    /// A page was certainly not written anew: memory is still ahead of it.
+    fn page_unwritten(&mut self, number: u64, refused: bool) {
+        let Some(page) = self.pages.map.get(&number) else { return };
+        for ix in page.members.clone() {
+            let Some(c) = self.jobs.get_mut(ix).and_then(|j| j.chunks.get_mut(&0)) else {
+                continue;
+            };
+            if std::mem::take(&mut c.busy) {
+                if refused {
+                    c.put_off_ms = self.now.steady_ms + self.cfg.lease_ms();
+                }
+                self.press(ix, 0);
+            }
+        }
+    }
+
+    /// Whether a write of a page stands is not known: it is read before it is written again.
+    fn read_page(&mut self, number: u64, new: bool) {
+        self.pages.page_to(number, PageState::Reading { new });
+        if let Some(page) = self.pages.map.get_mut(&number) {
+            page.doubt |= new;
+            let asked = std::mem::take(&mut page.asked);
+            asked.into_iter().for_each(|(id, _)| self.answer_busy(id));
+        }
+        let pending = Pending::PageRead { number, epoch: self.epoch() };
+        self.state_call("GET", format!("/keys/{}", page_key(number)), Vec::new(), pending);
+    }
+
+    pub(crate) fn on_page_read(&mut self, number: u64, outcome: Outcome) {
+        let Ok(pair) = self.read_outcome(outcome) else {
+            self.pages_again(number);
+            return;
+        };
+        let Some(page) = self.pages.map.get_mut(&number) else { return };
+        let new = matches!(page.state, PageState::Reading { new: true });
+        match pair {
+            // Its jobs were accepted by whichever of our writes it was; all hold the same.
+            Some(pair) => {
+                page.stamp = pair.stamp;
+                self.pages.page_to(number, PageState::Stands);
+                if new {
+                    // Which version of the shares stands is not known: they are written again.
+                    for ix in self.pages.map[&number].members.clone() {
+                        if self.jobs.get(ix).is_some_and(|j| j.state == JobState::Recording) {
+                            self.link(ix);
+                            self.job_to(ix, JobState::Live);
+                        }
+                        self.store.touch_job(ix);
+                    }
+                }
+                self.page_unwritten(number, false);
+                self.tidy_page(number);
+            }
+            // It may still come: written again, it takes the place that the late one needs.
+            None => {
+                self.store.writes.force(self.now.steady_ms, 1.0);
+                self.write_page(number);
+            }
+        }
+    }
+
+    /// The read failed: once a second it is tried again.
+    fn pages_again(&mut self, number: u64) {
+        self.pages_retry.push(number);
+    }
+
+    pub(crate) fn retry_pages(&mut self) {
+        for number in std::mem::take(&mut self.pages_retry) {
+            let new = self.pages.map.get(&number).is_some_and(|p| p.stamp == 0);
+            self.read_page(number, new);
+        }
+    }
+
+    /// A job has a record of its own, or is gone.
+    pub(crate) fn leave_page(&mut self, ix: JobIx, number: u64) {
+        if let Some(page) = self.pages.map.get_mut(&number) {
+            page.members.remove(&ix);
+        }
+        self.tidy_page(number);
+    }
+
+    /// A page none of whose jobs needs it any more is deleted, unless it is the last.
+    pub(crate) fn tidy_page(&mut self, number: u64) {
+        let Some(page) = self.pages.map.get(&number) else { return };
+        let free = page.members.is_empty() && page.state == PageState::Stands && !page.sealed;
+        if free && number < self.pages.last {
+            self.pages.map.remove(&number);
+            self.store.clear_inbox(page_key(number));
+        }
+    }
+
+    pub(crate) fn tidy_pages(&mut self) {
+        let all: Vec<u64> = self.pages.map.keys().copied().collect();
+        all.into_iter().for_each(|n| self.tidy_page(n));
+    }
+
+    /// Everything that a leader kept of pages goes.
+    pub(crate) fn forget_pages(&mut self) {
+        let pages = std::mem::take(&mut self.pages);
+        self.pages_retry.clear();
+        let asked = pages.map.into_values().flat_map(|p| p.asked);
+        asked.chain(pages.intake).for_each(|(id, _)| self.answer_busy(id));
+        // Looks through the pages don't depend on who leads.
+        (self.pages.scan, self.pages.queue) = (pages.scan, pages.queue);
+    }
+
+    // Looking a job up, wherever it stands.
+
+    /// Reads a job's record; if there is none, looks through the pages.
+    pub(crate) fn look_up(&mut self, job: &str, then: Pending) {
+        let target = format!("/keys/{}", job_key(job));
+        if !self.has(Feature::SharedPages) {
+            return self.state_call("GET", target, Vec::new(), then);
+        }
+        let (job, then) = (job.to_string(), Box::new(then));
+        let look = LookUp { job, found: None, damaged: false, last: 0, then };
+        self.state_call("GET", target, Vec::new(), Pending::LookFirst(look));
+    }
+
+    pub(crate) fn on_look_first(&mut self, look: LookUp, outcome: Outcome) {
+        let absent = matches!(&outcome, Outcome::Answer(r) if r.status == 404);
+        if !absent {
+            return self.on_outcome(*look.then, outcome);
+        }
+        // Memory knows what stands in pages: without a record of its own the job lives.
+        let known = self.jobs.find(&look.job).and_then(|ix| self.jobs.get(ix));
+        let known = known.filter(|j| j.page.is_some() && j.state != JobState::Recording);
+        if let Some(job) = known {
+            let mut record = self.job_record(job.spec.clone());
+            record.at_ms = job.at_ms;
+            return self.found_in_page(&look.job, &record, *look.then);
+        }
+        if self.pages.queue.len() >= LOOKS_MOST {
+            return self.on_outcome(*look.then, Outcome::NotSent);
+        }
+        self.pages.queue.push(look);
+        self.scan_pages();
+    }
+
+    fn scan_pages(&mut self) {
+        if self.pages.scan.is_some() || self.pages.queue.is_empty() {
+            return;
+        }
+        let wanted = std::mem::take(&mut self.pages.queue);
+        self.pages.scan = Some(Scan { wanted, ..Scan::default() });
+        self.scan_on();
+    }
+
+    fn scan_on(&mut self) {
+        let Some(scan) = &self.pages.scan else { return };
+        let mut target = format!("/keys?starts={PAGES}&most={SCAN_PAGE}");
+        if let Some(since) = &scan.since {
+            target.push_str(&format!("&since={since}"));
+        }
+        self.member.reads.force(self.now.steady_ms, 1.0);
+        let timeout = 3 * self.cfg.state_timeout_ms();
+        self.call(crate::Peer::State, "GET", target, Vec::new(), timeout, Pending::PageScan);
+    }
+
+    pub(crate) fn on_page_scan(&mut self, outcome: Outcome) {
+        let Some(mut scan) = self.pages.scan.take() else { return };
+        let list = match outcome {
+            Outcome::Answer(r) if r.status == 200 => from_cbor::<PairList>(&r.body).ok(),
+            _ => None,
+        };
+        let Some(list) = list else {
+            for look in scan.wanted {
+                self.on_outcome(*look.then, Outcome::NotSent);
+            }
+            return self.scan_pages();
+        };
+        self.state_answered();
+        for pair in &list.pairs {
+            let Some(number) = page_number(&pair.path) else { continue };
+            scan.last = scan.last.max(number);
+            let Some(page) = decode::<PageRecord>(&pair.value) else {
+                tracing::error!(number, "a page can't be read; jobs in it can't be told");
+                scan.damaged = true;
+                continue;
+            };
+            for look in &mut scan.wanted {
+                if page.holds(&look.job) {
+                    look.found = page.get(&look.job);
+                    look.damaged = look.found.is_none();
+                }
+            }
+        }
+        let end = list.pairs.last().map(|p| p.path.clone());
+        if list.more && end.is_some() {
+            scan.since = end;
+            self.pages.scan = Some(scan);
+            return self.scan_on();
+        }
+        for mut look in scan.wanted {
+            if look.damaged || scan.damaged && look.found.is_none() {
+                self.on_outcome(*look.then, Outcome::NotSent);
+                continue;
+            }
+            // It may have got a record of its own while we looked.
+            look.last = scan.last;
+            let target = format!("/keys/{}", job_key(&look.job));
+            self.member.reads.force(self.now.steady_ms, 1.0);
+            self.state_call("GET", target, Vec::new(), Pending::LookLast(look));
+        }
+        self.scan_pages();
+    }
+
+    /// A job in a page reads like a record that has no stamp yet: whoever writes one writes
+    /// it guarded by there being none.
+    pub(crate) fn on_look_last(&mut self, look: LookUp, outcome: Outcome) {
+        let absent = matches!(&outcome, Outcome::Answer(r) if r.status == 404);
+        self.pages.looked_last = look.last;
+        match look.found {
+            Some(record) if absent => self.found_in_page(&look.job, &record, *look.then),
+            _ => self.on_outcome(*look.then, outcome),
+        }
+    }
+
+    fn found_in_page(&mut self, job: &str, record: &JobRecord, then: Pending) {
+        let pair = Pair { path: job_key(job), value: encode(record), stamp: 0, permit: None };
+        self.on_outcome(then, Outcome::Answer(Response::new(200, to_cbor(&pair))))
+    }
+}
--- a/crates/core/src/polls.rs
+++ b/crates/core/src/polls.rs
@@ -186,7 +186,7 @@
 
 /// Memory rests on a record of the job whose stamp is known.
 fn comparable(job: &Job) -> bool {
-    job.state.lives() && !job.busy && job.stamp > 0
+    job.state.lives() && !job.busy && (job.stamp > 0 || job.page.is_some())
 }
 
 /// What is told of a job that had not ended at the time of a read: its end is told
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -8,6 +8,7 @@
 //! | `view/keeper/<node>` | a controller that keeps workers for the leader, on its lease |
 //! | `view/post/<to>/<from>` | what one controller has to tell another past a cut, on its lease |
 //! | `jobs/<ref>` | the spec, perhaps the share, then how it ended |
+//! | `pages/<number>` | live jobs that were accepted together; a job's own record goes ahead |
 //! | `shares/<ref>/<part>/<chunk>` | tasks dealt to a part, probes, ends |
 //! | `inbox/<ref>` | a job or abort recorded past the leader, for it to look at |
 //! | `format` | the format that all controllers write from now on, and the features that are on; absent before format 2 |
@@ -16,7 +17,7 @@
 //! Format 1 is that of the first version. Format 2 adds a job's dependencies, packs shares
 //! more closely, and spreads a share over several keys, `<chunk>`, `<chunk>.1` and so on,
 //! where one value would be too large. Format 3 puts the share of a job of one chunk into
-//! the job's own record, where it fits.
+//! the job's own record, where it fits. Format 4 adds pages.
 
 use std::collections::BTreeMap;
 
@@ -34,6 +35,8 @@
 pub const JOBS: &str = "jobs/";
 pub const SHARES: &str = "shares/";
 pub const INBOX: &str = "inbox/";
+/// Jobs that share a record; see `pages.rs`.
+pub const PAGES: &str = "pages/";
 pub const MEMBERS: &str = "members/";
 /// The format that stands, and what each controller can do; see `format.rs`.
 pub const FORMAT: &str = "format";
@@ -145,6 +148,93 @@
     }
 }
 
+/// Number of a page as keys name it: in the order of the numbers.
+pub fn page_key(number: u64) -> String {
+    format!("{PAGES}{number:012}")
+}
+
+pub fn page_number(key: &str) -> Option<u64> {
+    key.strip_prefix(PAGES)?.parse().ok()
+}
+
+/// Live jobs that share a record. What their descriptions have in common stands once.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PageRecord {
+    /// The first job's description.
+    like: Vec<(String, Value)>,
+    jobs: BTreeMap<String, Value>,
+}
+
+/// One job of a page.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct PageEntry {
+    at_ms: u64,
+    /// Fields that are other than `like` has them, and null for those that it lacks.
+    spec: Vec<(String, Value)>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    share: Option<SharePiece>,
+}
+
+fn fields(spec: &JobSpec) -> Vec<(String, Value)> {
+    let map = encode(spec).into_map().unwrap_or_default();
+    map.into_iter().filter_map(|(k, v)| Some((k.into_text().ok()?, v))).collect()
+}
+
+/// What of `spec` is other than `like` has it.
+fn other_than(like: &[(String, Value)], spec: Vec<(String, Value)>) -> Vec<(String, Value)> {
+    let missing = like.iter().filter(|(k, _)| !spec.iter().any(|(s, _)| s == k));
+    let missing: Vec<_> = missing.map(|(k, _)| (k.clone(), Value::Null)).collect();
+    spec.into_iter().filter(|f| !like.contains(f)).chain(missing).collect()
+}
+
+impl PageRecord {
+    /// Bytes that a description takes beside one that it is like.
+    pub fn differs(like: &JobSpec, spec: &JobSpec) -> usize {
+        checked_size(&other_than(&fields(like), fields(spec)))
+    }
+
+    pub fn add(&mut self, spec: &JobSpec, at_ms: u64, share: Option<SharePiece>) {
+        let all = fields(spec);
+        if self.like.is_empty() {
+            self.like = all.clone();
+        }
+        let entry = PageEntry { at_ms, spec: other_than(&self.like, all), share };
+        self.jobs.insert(spec.id.clone(), encode(&entry));
+    }
+
+    /// A job of it, as its own record would say it; `None` also if it can't be read.
+    pub fn get(&self, id: &str) -> Option<JobRecord> {
+        let entry: PageEntry = decode(self.jobs.get(id)?)?;
+        let mut spec: BTreeMap<String, Value> = self.like.iter().cloned().collect();
+        for (k, v) in entry.spec {
+            match v {
+                Value::Null => drop(spec.remove(&k)),
+                v => drop(spec.insert(k, v)),
+            }
+        }
+        let spec: JobSpec = decode(&encode(&spec))?;
+        if spec.id != id {
+            return None;
+        }
+        Some(JobRecord {
+            status: RecordedStatus::Live,
+            spec: Some(spec),
+            at_ms: entry.at_ms,
+            done_chunks: Vec::new(),
+            service: false,
+            share: entry.share,
+        })
+    }
+
+    pub fn holds(&self, id: &str) -> bool {
+        self.jobs.contains_key(id)
+    }
+
+    pub fn ids(&self) -> impl Iterator<Item = &String> {
+        self.jobs.keys()
+    }
+}
+
 /// Tasks `from..=to` may be on the machines named, and on no others.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProbeSet {
--- a/crates/core/src/restore.rs
+++ b/crates/core/src/restore.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use quartzgate_ladder::Feature;
 use quartzgate_wire::from_cbor;
-use quartzgate_wire::msg::{PairList, Report};
+use quartzgate_wire::msg::{Pair, PairList, Report};
 
 use crate::blame::Trust;
 use crate::controller::{Controller, Pending};
@@ -12,8 +13,9 @@
 use crate::machines::{sane, MachineState};
 use crate::member::Role;
 use crate::records::{
-    decode, job_key, open_inline, parse_share_key, piece_keys, read_share, share_key,
-    GatheredShare, JobRecord, RecordedStatus, SharePiece, CHUNK, FORMAT, INBOX, JOBS, SHARES,
+    decode, job_key, open_inline, page_number, parse_share_key, piece_keys, read_share, share_key,
+    GatheredShare, JobRecord, PageRecord, RecordedStatus, SharePiece, CHUNK, FORMAT, INBOX, JOBS,
+    PAGES, SHARES,
 };
 use crate::{Outcome, Peer};
 
@@ -21,6 +23,7 @@
 enum Phase {
     #[default]
     Format,
+    Pages,
     Jobs,
     Shares,
     Inbox,
@@ -35,8 +38,10 @@
     aborted: BTreeMap<String, (JobRecord, u64)>,
     retry_ms: Option<u64>,
     broken: BTreeSet<String>,
-    /// Shares that stand in their jobs' own records, until all jobs are read.
-    inline: Vec<(String, SharePiece, u64)>,
+    /// Shares that stand in their jobs' own records or pages, until all jobs are read.
+    inline: Vec<(String, SharePiece, u64, Option<u64>)>,
+    /// Jobs in pages, as long as no record of their own has been read.
+    paged: BTreeMap<String, (u64, JobRecord)>,
     /// Shares some of whose pieces have not been read yet.
     partial: BTreeMap<JobIx, BTreeMap<u32, GatheredShare>>,
 }
@@ -66,6 +71,7 @@
     fn restore_next(&mut self) {
         let prefix = match self.restore.phase {
             Phase::Format => FORMAT,
+            Phase::Pages => PAGES,
             Phase::Jobs => JOBS,
             Phase::Shares => SHARES,
             Phase::Inbox => INBOX,
@@ -115,12 +121,19 @@
         for pair in list.pairs {
             match phase {
                 Phase::Format => {}
+                Phase::Pages => self.restore_page(&pair),
                 Phase::Jobs => {
                     let id = pair.path.trim_start_matches(JOBS).to_string();
                     match decode::<JobRecord>(&pair.value) {
                         Some(mut record) => {
-                            let share = record.share.take();
-                            let share = share.map(|s| (id.clone(), s, pair.stamp));
+                            let paged = self.restore.paged.remove(&id);
+                            let mut share = record.share.take().map(|s| (s, None));
+                            // A cancelled job's page goes on saying where its tasks may be.
+                            if record.status == RecordedStatus::Aborted && record.spec.is_some() {
+                                let told = paged.and_then(|(n, r)| Some((r.share?, Some(n))));
+                                share = told.or(share);
+                            }
+                            let share = share.map(|(s, n)| (id.clone(), s, pair.stamp, n));
                             self.restore.inline.extend(share);
                             self.restore_job(id, record, pair.stamp)
                         }
@@ -162,16 +175,24 @@
         }
         self.restore.since = None;
         self.restore.phase = match phase {
-            Phase::Format => Phase::Jobs,
+            // Before the jobs' own records, which go ahead of what pages say.
+            Phase::Format if self.has(Feature::SharedPages) => Phase::Pages,
+            Phase::Format | Phase::Pages => Phase::Jobs,
             Phase::Jobs => {
+                self.restore_paged();
                 // All ends are known now: what waits for what can be told.
                 for ix in self.jobs.indexes() {
                     self.link(ix);
                 }
-                for (id, piece, stamp) in std::mem::take(&mut self.restore.inline) {
+                for (id, piece, stamp, page) in std::mem::take(&mut self.restore.inline) {
                     let Some(ix) = self.share_job(&id) else { continue };
+                    if let (Some(n), Some(j)) = (page, self.jobs.get_mut(ix)) {
+                        j.page = Some(n);
+                        self.pages.join(n, ix);
+                    }
                     self.load_inline(ix, &piece, stamp);
                 }
+                self.tidy_pages();
                 Phase::Shares
             }
             Phase::Shares => {
@@ -188,9 +209,50 @@
         self.restore_next();
     }
 
+    fn restore_page(&mut self, pair: &Pair) {
+        let Some(number) = page_number(&pair.path) else { return };
+        self.pages.restore(number, pair.stamp);
+        let Some(page) = decode::<PageRecord>(&pair.value) else {
+            tracing::error!(number, "a page can't be read; its jobs are left alone");
+            return self.pages.seal(number, None);
+        };
+        for id in page.ids() {
+            match page.get(id) {
+                Some(record) => drop(self.restore.paged.insert(id.clone(), (number, record))),
+                None => {
+                    tracing::error!(job = %id, number, "the job can't be read in its page; it is left alone");
+                    self.pages.seal(number, Some(id.clone()));
+                }
+            }
+        }
+    }
+
+    /// Jobs that have no record of their own: their pages say all of them.
+    fn restore_paged(&mut self) {
+        for (id, (number, mut record)) in std::mem::take(&mut self.restore.paged) {
+            let share = record.share.take();
+            let Some(ix) = self.insert_recorded(record, 0) else {
+                self.pages.seal(number, Some(id));
+                continue;
+            };
+            self.pages.join(number, ix);
+            if let Some(j) = self.jobs.get_mut(ix) {
+                j.page = Some(number);
+            }
+            self.store.touch_job(ix);
+            self.restore.inline.extend(share.map(|s| (id, s, 0, Some(number))));
+        }
+    }
+
     fn load_inline(&mut self, ix: JobIx, piece: &SharePiece, stamp: u64) {
         match open_inline(piece, stamp) {
-            Some(share) => self.load_chunk(ix, 0, share),
+            Some(share) => {
+                self.load_chunk(ix, 0, share);
+                // What stands in a page does not stand in a record of its own.
+                if let Some(j) = self.jobs.get_mut(ix).filter(|j| j.page.is_some()) {
+                    j.chunks.values_mut().for_each(|c| c.inline = false);
+                }
+            }
             None => {
                 let key = self.jobs.get(ix).map(|j| job_key(&j.id));
                 self.broken_share(ix, &key.unwrap_or_default())
@@ -375,6 +437,10 @@
         if record.status != RecordedStatus::Live || self.finals.get(id).is_some() {
             return None;
         }
+        // All that stands in pages is in memory, or being recorded.
+        if stamp == 0 {
+            return None;
+        }
         let mut record = record;
         let share = record.share.take();
         let ix = self.insert_recorded(record, stamp)?;
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -172,6 +172,11 @@
         self.dirty.len()
     }
 
+    /// A chunk's record is on its way by other means.
+    pub fn settled(&mut self, ix: JobIx, chunk: u32) {
+        self.dirty.remove(&(ix, chunk));
+    }
+
     pub fn touch_job(&mut self, ix: JobIx) {
         self.jobs.insert(ix);
     }
@@ -264,6 +269,16 @@
             {
                 continue;
             }
+            // What shares a record is written with its neighbours, in a write of its own.
+            if let Some(page) = job.page.filter(|_| !job.own) {
+                // The end says it all.
+                if c.whole() {
+                    self.store.dirty.remove(&(ix, chunk));
+                    continue;
+                }
+                self.rewrite_page(page);
+                continue;
+            }
             let id = job.id.clone();
             let Some(share) = self.share_write(ix, chunk) else { continue };
             if share.oversize || share.changes() > most {
@@ -358,7 +373,7 @@
         let now = self.now.steady_ms;
         // What others wait for comes first, ends that follow from others' last.
         let mut candidates: Vec<JobIx> = self.store.jobs.iter().copied().collect();
-        candidates.sort_by_key(|ix| match self.jobs.get(*ix) {
+        candidates.sort_by_cached_key(|ix| match self.jobs.get(*ix) {
             Some(j) if j.state == JobState::Aborted => 2,
             Some(j) if self.chains.needed(&j.id) => 0,
             _ => 1,
@@ -544,6 +559,10 @@
         match item {
             FlushItem::Chunk { job, chunk, placed } => {
                 self.chunk_stands(job, chunk, placed, rev);
+                let moved = self.jobs.get_mut(job).filter(|_| placed.own);
+                if let Some(page) = moved.and_then(|j| j.page.take()) {
+                    self.leave_page(job, page);
+                }
                 self.touch_probed(job);
                 self.preempt_due = true;
                 self.deal_due = true;
@@ -688,7 +707,19 @@
                 self.mark_dirty(job, chunk);
             }
             FlushItem::End { job, .. } | FlushItem::Fold { job, .. } => {
-                let Some(pair) = pair else { return self.unreadable(job) };
+                let paged = self.jobs.get(job).is_some_and(|j| j.page.is_some());
+                let Some(pair) = pair else {
+                    if !paged {
+                        return self.unreadable(job);
+                    }
+                    // Its page says all that stands of it.
+                    if let Some(j) = self.jobs.get_mut(job) {
+                        (j.busy, j.stamp) = (false, 0);
+                    }
+                    self.job_to(job, JobState::Live);
+                    self.store.touch_job(job);
+                    return self.touch_probed(job);
+                };
                 let Some(record) = decode::<JobRecord>(&pair.value) else {
                     return self.unreadable(job);
                 };
@@ -826,7 +857,10 @@
             self.task_to(TaskKey { job: ix, task }, TaskState::Dropped);
         }
         self.unlink(ix);
-        self.jobs.remove(ix);
+        let page = self.jobs.remove(ix).and_then(|j| j.page);
+        if let Some(page) = page {
+            self.leave_page(ix, page);
+        }
         self.store.jobs.remove(&ix);
     }
 
--- a/crates/core/tests/stories/main.rs
+++ b/crates/core/tests/stories/main.rs
@@ -3,6 +3,7 @@
 
 mod chains;
 mod inline;
+mod pages;
 mod rolls;
 mod upgrade;
 mod world;
@@ -907,6 +908,42 @@
     }
 }
 
+/// Something of chance fails, or all is well again; the controller that it befell.
+pub fn trouble(w: &mut World, rng: &mut rand::rngs::SmallRng) -> usize {
+    use rand::Rng;
+    let node = rng.random_range(0..3);
+    let how = if rng.random_bool(0.5) { Cut::Hold } else { Cut::Drop };
+    match rng.random_range(0..11) {
+        0 => w.kill_for(node, 3_000),
+        1 => (0..3).for_each(|n| w.kill_for(n, 2_000)),
+        2 => w.cut(End::Node(node), End::State, how),
+        3 => {
+            w.state.refuses.insert(node);
+        }
+        4 => w.state.down = !w.state.down,
+        5 => w.cut(End::Node(node), End::Node((node + 1) % 3), how),
+        6 => {
+            let names: Vec<String> = w.workers.keys().cloned().collect();
+            let name = names[rng.random_range(0..names.len())].clone();
+            w.workers.get_mut(&name).unwrap().hung_until = w.now + rng.random_range(2_000..12_000);
+        }
+        8 => w.pause(node, rng.random_range(1_000..26_000)),
+        9 => w.pause_in_round(node, rng.random_range(1_000..26_000)),
+        7 => {
+            let names: Vec<String> = w.workers.keys().cloned().collect();
+            for name in names.iter().filter(|_| rng.random_bool(0.4)) {
+                w.cut(End::Node(node), End::Worker(name.clone()), how);
+            }
+        }
+        _ => {
+            w.heal();
+            w.state.refuses.clear();
+            w.state.down = false;
+        }
+    }
+    node
+}
+
 /// Guards against everything at once: random kills, cuts, outages, hangs and aborts
 /// over a lossy network. The rules hold and, once it is calm, all work is done.
 #[test]
@@ -932,37 +969,7 @@
             spec.spread = shape == Shape::Service;
             w.submit(rng.random_range(0..3), &spec);
             ids.push((id, spec));
-            let node = rng.random_range(0..3);
-            let how = if rng.random_bool(0.5) { Cut::Hold } else { Cut::Drop };
-            match rng.random_range(0..11) {
-                0 => w.kill_for(node, 3_000),
-                1 => (0..3).for_each(|n| w.kill_for(n, 2_000)),
-                2 => w.cut(End::Node(node), End::State, how),
-                3 => {
-                    w.state.refuses.insert(node);
-                }
-                4 => w.state.down = !w.state.down,
-                5 => w.cut(End::Node(node), End::Node((node + 1) % 3), how),
-                6 => {
-                    let names: Vec<String> = w.workers.keys().cloned().collect();
-                    let name = names[rng.random_range(0..names.len())].clone();
-                    w.workers.get_mut(&name).unwrap().hung_until =
-                        w.now + rng.random_range(2_000..12_000);
-                }
-                8 => w.pause(node, rng.random_range(1_000..26_000)),
-                9 => w.pause_in_round(node, rng.random_range(1_000..26_000)),
-                7 => {
-                    let names: Vec<String> = w.workers.keys().cloned().collect();
-                    for name in names.iter().filter(|_| rng.random_bool(0.4)) {
-                        w.cut(End::Node(node), End::Worker(name.clone()), how);
-                    }
-                }
-                _ => {
-                    w.heal();
-                    w.state.refuses.clear();
-                    w.state.down = false;
-                }
-            }
+            let node = trouble(&mut w, &mut rng);
             if rng.random_bool(0.2) {
                 let at = rng.random_range(0..ids.len());
                 let id = ids[at].0.clone();
@@ -1014,6 +1021,7 @@
 #[test]
 fn a_flood_of_submissions_does_not_starve_what_was_accepted() {
     let mut w = World::new(3, 12, 0.0, 41);
+    w.without_pages();
     w.state.limits = Some((usize::MAX, 12, 40.0));
     w.run(2_500);
     let leader = w.leader().unwrap();
@@ -1046,6 +1054,7 @@
 #[test]
 fn a_follower_hands_on_what_the_leader_turns_away() {
     let mut w = World::new(3, 12, 0.0, 42);
+    w.without_pages();
     w.state.limits = Some((usize::MAX, 12, 40.0));
     w.run(2_500);
     let follower = (w.leader().unwrap() + 1) % 3;
--- a/crates/core/tests/stories/rolls.rs
+++ b/crates/core/tests/stories/rolls.rs
@@ -22,15 +22,16 @@
 
 /// A build that knows a version more, and features with steps of their own.
 static TOMORROW: Table = Table {
-    versions: &[version(2, "format-2"), version(3, "format-3")],
+    versions: &[version(2, "format-2"), version(3, "format-3"), version(4, "format-4")],
     features: &[
         feature("chains", Comes::With(2), &[]),
         feature("pieces", Comes::With(2), &[]),
         feature("service-mark", Comes::With(2), &["chains"]),
         feature("low-limits", Comes::With(2), &["pieces"]),
         feature("inline-shares", Comes::With(3), &["pieces"]),
-        feature("even-shares", Comes::Alone { from: 3 }, &[]),
-        feature("owners", Comes::Alone { from: 3 }, &["even-shares"]),
+        feature("shared-pages", Comes::With(4), &["inline-shares"]),
+        feature("even-shares", Comes::Alone { from: 4 }, &[]),
+        feature("owners", Comes::Alone { from: 4 }, &["even-shares"]),
     ],
 };
 
@@ -46,7 +47,7 @@
 };
 
 /// Steps from nothing to all that `TOMORROW` knows.
-const ALL: [&str; 4] = ["format-2", "format-3", "even-shares", "owners"];
+const ALL: [&str; 5] = ["format-2", "format-3", "format-4", "even-shares", "owners"];
 
 /// A cluster of the first version (`first`), or of `TODAY`'s, settled and with work.
 fn world(nodes: usize, first: bool, seed: u64) -> World {
@@ -70,7 +71,7 @@
 }
 
 fn complete(w: &World) -> bool {
-    w.stands().version == 3 && w.stands().features.len() == 2
+    w.stands().version == 4 && w.stands().features.len() == 2
 }
 
 /// What was switched on, in order.
@@ -83,8 +84,8 @@
 fn climbed_in_order(w: &World) {
     let seen = climbed(w);
     let steps: Vec<(u32, usize)> = seen.iter().map(|r| (r.version, r.features.len())).collect();
-    assert_eq!(steps, [(2, 0), (3, 0), (3, 1), (3, 2)]);
-    assert!(seen[2].features.contains("even-shares"), "what others need comes first");
+    assert_eq!(steps, [(2, 0), (3, 0), (4, 0), (4, 1), (4, 2)]);
+    assert!(seen[3].features.contains("even-shares"), "what others need comes first");
 }
 
 /// The work that was there goes on, new work is done, and what every controller says of
@@ -97,7 +98,7 @@
     assert_eq!(w.on("wk-000002").len(), 3);
     for n in (0..w.size()).filter(|n| w.is_up(*n)).collect::<Vec<_>>() {
         let seen = w.figures(n);
-        assert_eq!((seen["format"], seen["format_foreign"]), (3.0, 0.0), "n{n}");
+        assert_eq!((seen["format"], seen["format_foreign"]), (4.0, 0.0), "n{n}");
         assert!(!seen.keys().any(|k| k.starts_with("step_held")), "n{n}");
     }
     w.keep_rules();
--- a/crates/core/tests/stories/upgrade.rs
+++ b/crates/core/tests/stories/upgrade.rs
@@ -343,7 +343,7 @@
         // Operators see it, node by node.
         let leader = w.leader().unwrap();
         let seen = w.figures(leader);
-        assert_eq!((seen["format"], seen["format_node.n0"]), (3.0, 3.0));
+        assert_eq!((seen["format"], seen["format_node.n0"]), (4.0, 4.0));
     }
 }
 
--- a/crates/core/tests/stories/world.rs
+++ b/crates/core/tests/stories/world.rs
@@ -6,7 +6,7 @@
 
 use ciborium::value::Value;
 use quartzgate_core::config::{Config, Operator};
-use quartzgate_core::records::{FORMAT, FORMAT_NODES};
+use quartzgate_core::records::{JobRecord, PageRecord, FORMAT, FORMAT_NODES, PAGES};
 use quartzgate_core::{Action, Call, CallId, Controller, Event, Now, Outcome, Peer};
 use quartzgate_ladder::{Ladder, StandingRecord, Stands, Table, TABLE};
 use quartzgate_wire::http::{Request, Response};
@@ -215,6 +215,8 @@
     pub withhold: BTreeMap<usize, Vec<String>>,
     /// How many controllers its settings name, where they differ.
     pub named: BTreeMap<usize, usize>,
+    /// All small jobs share pages, not only while changes are scarce.
+    pub paged: bool,
     /// Revision at which each controller was last started.
     born_rev: Vec<u64>,
     /// Who sent the step that is being applied.
@@ -325,6 +327,7 @@
             tables: BTreeMap::new(),
             withhold: BTreeMap::new(),
             named: BTreeMap::new(),
+            paged: false,
             born_rev: vec![0; nodes],
             stepping: None,
             seed,
@@ -390,7 +393,8 @@
         platform.check().unwrap();
         let withhold = self.withhold.get(&n).cloned().unwrap_or_default();
         let new_format = !self.old.contains(&n);
-        let operator = Operator { new_format, withhold, ..Operator::default() };
+        let share_pages_below = if self.paged { 1.0 } else { 0.5 };
+        let operator = Operator { new_format, withhold, share_pages_below, ..Operator::default() };
         let mut config = Config::new(platform, operator);
         config.table = self.table_of(n);
         self.born_rev[n] = self.state.rev;
@@ -515,6 +519,15 @@
         key.map_or(StandingRecord::first(), |(v, _, _)| v.deserialized().unwrap())
     }
 
+    /// No job shares a record: each is turned away that can't have one of its own.
+    pub fn without_pages(&mut self) {
+        for n in 0..self.size() {
+            self.withhold.insert(n, vec!["format-4".into()]);
+            self.kill(n);
+            self.start(n);
+        }
+    }
+
     /// Writes that are held.
     pub fn steps_held(&self) -> usize {
         self.held.len()
@@ -1108,6 +1121,7 @@
             };
             self.state.log.push(event);
         }
+        self.check_places();
         let body = to_cbor(&TransactionAnswer { ledger_rev: stamp, failed: Vec::new() });
         Response::new(200, body)
     }
@@ -1186,6 +1200,29 @@
         self.tables.get(&n).copied().unwrap_or(&TABLE)
     }
 
+    /// A live job that was told to be accepted stands in a page or in a record of its own,
+    /// and its share in one place only.
+    fn check_places(&mut self) {
+        let mut paged = BTreeSet::new();
+        for (_, v) in self.state.keys.iter().filter(|(k, _)| k.starts_with(PAGES)) {
+            match v.0.deserialized::<PageRecord>() {
+                Ok(page) => paged.extend(page.ids().cloned()),
+                Err(_) => return,
+            }
+        }
+        for id in self.told.keys() {
+            let own = self.state.keys.get(&format!("jobs/{id}"));
+            if own.is_none() && !paged.contains(id) {
+                self.breaches.push(format!("{id} stands nowhere"));
+            }
+            let record = own.and_then(|k| k.0.deserialized::<JobRecord>().ok());
+            let inline = record.is_some_and(|r| r.share.is_some());
+            if inline && self.state.keys.contains_key(&format!("shares/{id}/0/0")) {
+                self.breaches.push(format!("the share of {id} stands in two places"));
+            }
+        }
+    }
+
     /// No share is ever written by an owner of an earlier view.
     fn check_epochs(&mut self, txn: &Transaction) {
         use quartzgate_core::records::{read_share, View, SHARES, VIEW};
--- a/crates/ladder/src/judge.rs
+++ b/crates/ladder/src/judge.rs
@@ -148,6 +148,15 @@
         }
     }
 
+    /// There is a step to take to which this controller agrees.
+    pub fn hopeful(&self) -> bool {
+        match &self.stands {
+            Stands::Unknown => true,
+            Stands::Foreign(_) => false,
+            Stands::At(at) => self.open_steps(at).iter().any(|s| !self.withheld.contains(s.name())),
+        }
+    }
+
     /// The one function that changes what is thought to stand. What stands stands for ever,
     /// and an older read shows less: it changes nothing. Returns whether something changed.
     pub fn stands_to(&mut self, next: Stands, stamp: u64) -> bool {
--- a/crates/ladder/src/table.rs
+++ b/crates/ladder/src/table.rs
@@ -20,6 +20,8 @@
     LowLimits,
     /// The share of a job of one chunk stands in the job's own record where it fits.
     InlineShares,
+    /// Jobs that are accepted together while changes are scarce share a record.
+    SharedPages,
 }
 
 impl Feature {
@@ -81,6 +83,11 @@
             name: "format-3",
             changes: "the record of a job of up to 64 tasks names their machines, where they fit",
         },
+        VersionEntry {
+            number: 4,
+            name: "format-4",
+            changes: "jobs that are accepted together may share a record, a page",
+        },
     ],
     features: &[
         FeatureEntry {
@@ -113,6 +120,12 @@
             needs: &["pieces"],
             changes: "a job of one chunk is accepted, dealt and ended with one change each time",
         },
+        FeatureEntry {
+            name: "shared-pages",
+            comes: Comes::With(4),
+            needs: &["inline-shares"],
+            changes: "while changes are scarce, jobs are accepted and dealt many with one change",
+        },
     ],
 };
 
