Pages and aborts use what was there: one write outcome, one own record, one place that charges

A page's rewriting was charged even when it was not written, for as long as one of its jobs waited for a record of its own (format 4, off by default); the charge now stands where the write is made. How a write ended was worked out twice, in on_flush and for pages; the leader's abort wrote out the job's own record beside own_record; whether a page ever stood was kept in its state and told by its stamp as well. No behaviour changes with format 4 off.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -591,18 +591,11 @@
             return self.answer_busy(id);
         }
         self.store.note(Purpose::Abort, 1);
-        let (key, stamp, job_id) = (job_key(&job.id), job.stamp, job.id.clone());
         let inline = job.chunks.get(&0).is_some_and(|c| c.inline);
-        let mut record = JobRecord {
-            status: RecordedStatus::Aborted,
-            spec: Some(job.spec.clone()),
-            at_ms: job.at_ms,
-            done_chunks: job.done_chunks.clone(),
-            service: false,
-            share: None,
-        };
-        record.end_within(self.value_most());
         self.job_to(ix, JobState::Doubtful);
+        let Some(job) = self.jobs.get(ix) else { return self.answer_busy(id) };
+        let (stamp, job_id) = (job.stamp, job.id.clone());
+        let record = self.own_record(job);
         let view = Guard { path: crate::records::VIEW.into(), stamp: self.member.view_stamp };
         let (mut guards, mut apply) = (vec![view], Vec::new());
         // A record that says where its tasks may be goes on saying so.
@@ -614,6 +607,7 @@
                 self.chunk_sent(ix, 0, placed);
             }
             None => {
+                let key = job_key(&job_id);
                 guards.push(Guard { path: key.clone(), stamp });
                 apply.push(Change::Set { set: key, value: encode(&record), permit: None });
             }
--- a/crates/core/src/pages.rs
+++ b/crates/core/src/pages.rs
@@ -16,9 +16,7 @@
 
 use quartzgate_ladder::Feature;
 use quartzgate_wire::http::Response;
-use quartzgate_wire::msg::{
-    Change, Guard, JobSpec, Pair, PairList, Shape, Transaction, TransactionAnswer,
-};
+use quartzgate_wire::msg::{Change, Guard, JobSpec, Pair, PairList, Shape, Transaction};
 use quartzgate_wire::{from_cbor, to_cbor};
 
 use crate::controller::{Controller, Pending};
@@ -29,7 +27,7 @@
     PageRecord, PAGES, VIEW,
 };
 use crate::shares::Placed;
-use crate::store::Purpose;
+use crate::store::{write_outcome, Purpose};
 use crate::{Outcome, RequestId};
 
 /// How a page stands to its record.
@@ -37,12 +35,10 @@
 enum PageState {
     /// The record as memory knows it stands.
     Stands,
-    /// It is being written for the first time.
-    Creating,
-    /// It is being written again.
+    /// It is being written; for the first time while it has no stamp.
     Writing,
-    /// What stands is not known, and is being read; `new` if it may never have stood.
-    Reading { new: bool },
+    /// What stands is not known, and is being read.
+    Reading,
 }
 
 #[derive(Debug)]
@@ -214,7 +210,7 @@
         if self.pages.intake.is_empty() || !many && waited < self.cfg.batch_ms() / 2 {
             return;
         }
-        if !self.store.writes.take(now, 1.0, 0.0) {
+        if self.store.writes.room(now, 0.0) < 1.0 {
             // Whoever can't be recorded soon is told at once.
             if waited > 2 * self.cfg.batch_ms() {
                 for (id, ix) in std::mem::take(&mut self.pages.intake) {
@@ -243,7 +239,7 @@
         self.pages.intake = left.collect();
         self.pages.opened_ms = Some(now);
         if asked.is_empty() {
-            return self.store.writes.force(now, -1.0);
+            return;
         }
         let members: BTreeSet<JobIx> = asked.iter().map(|(_, ix)| *ix).collect();
         let backlog = self.backlog();
@@ -255,7 +251,7 @@
             }
         }
         self.pages.last = number;
-        let page = Page { members, asked, ..Page::new(PageState::Creating, 0) };
+        let page = Page { members, asked, ..Page::new(PageState::Writing, 0) };
         self.pages.map.insert(number, page);
         self.write_page(number);
     }
@@ -344,9 +340,9 @@
             self.chunk_sent(*ix, 0, Placed::default());
             self.store.settled(*ix, 0);
         }
+        self.store.writes.force(self.now.steady_ms, 1.0);
         self.store.note(if new { Purpose::Accept } else { Purpose::Deal }, 1);
-        let state = if new { PageState::Creating } else { PageState::Writing };
-        self.pages.page_to(number, state);
+        self.pages.page_to(number, PageState::Writing);
         let body = to_cbor(&Transaction { guards, apply });
         let pending = Pending::PageWrite { number, epoch: self.epoch() };
         self.state_call("POST", "/multi".into(), body, pending);
@@ -363,7 +359,6 @@
                 }
             }
         } else if !self.pages.busy(number) {
-            self.store.writes.force(self.now.steady_ms, 1.0);
             self.write_page(number);
         }
     }
@@ -371,15 +366,7 @@
     pub(crate) fn on_page_write(&mut self, number: u64, outcome: Outcome) {
         let Some(page) = self.pages.map.get(&number) else { return };
         let (new, doubt) = (page.stamp == 0, page.doubt);
-        let answer = match &outcome {
-            Outcome::Answer(r) => from_cbor::<TransactionAnswer>(&r.body).ok(),
-            _ => None,
-        };
-        let status = match &outcome {
-            Outcome::Answer(r) => r.status,
-            Outcome::NotSent => 503,
-            Outcome::Lost => 0,
-        };
+        let (status, answer) = write_outcome(&outcome);
         match (status, answer) {
             (200, Some(done)) => {
                 self.state_answered();
@@ -391,14 +378,14 @@
                     return self.superseded();
                 }
                 if a.failed.contains(&page_key(number)) {
-                    return self.read_page(number, new);
+                    return self.read_page(number);
                 }
                 self.known_elsewhere(number, &a.failed);
             }
             (400 | 429 | 503, _) if new && doubt => {
                 self.state_busy(status);
-                self.pages.page_to(number, PageState::Reading { new });
-                self.pages_again(number);
+                self.pages.page_to(number, PageState::Reading);
+                self.pages_retry.push(number);
             }
             (400, _) if new => {
                 tracing::error!(number, "the state service refused a page as malformed");
@@ -416,7 +403,7 @@
                 self.pages.page_to(number, PageState::Stands);
                 self.page_unwritten(number, status == 400);
             }
-            _ => self.read_page(number, new),
+            _ => self.read_page(number),
         }
     }
 
@@ -475,7 +462,6 @@
         if page.members.is_empty() && !page.doubt {
             return self.undo_page(number);
         }
-        self.store.writes.force(self.now.steady_ms, 1.0);
         self.write_page(number);
     }
 
@@ -525,10 +511,10 @@
     }
 
     /// Whether a write of a page stands is not known: it is read before it is written again.
-    fn read_page(&mut self, number: u64, new: bool) {
-        self.pages.page_to(number, PageState::Reading { new });
+    fn read_page(&mut self, number: u64) {
+        self.pages.page_to(number, PageState::Reading);
         if let Some(page) = self.pages.map.get_mut(&number) {
-            page.doubt |= new;
+            page.doubt |= page.stamp == 0;
             let asked = std::mem::take(&mut page.asked);
             asked.into_iter().for_each(|(id, _)| self.answer_busy(id));
         }
@@ -538,11 +524,11 @@
 
     pub(crate) fn on_page_read(&mut self, number: u64, outcome: Outcome) {
         let Ok(pair) = self.read_outcome(outcome) else {
-            self.pages_again(number);
-            return;
+            // Once a second it is tried again.
+            return self.pages_retry.push(number);
         };
         let Some(page) = self.pages.map.get_mut(&number) else { return };
-        let new = matches!(page.state, PageState::Reading { new: true });
+        let new = page.stamp == 0;
         match pair {
             // Its jobs were accepted by whichever of our writes it was; all hold the same.
             Some(pair) => {
@@ -562,22 +548,13 @@
                 self.tidy_page(number);
             }
             // It may still come: written again, it takes the place that the late one needs.
-            None => {
-                self.store.writes.force(self.now.steady_ms, 1.0);
-                self.write_page(number);
-            }
+            None => self.write_page(number),
         }
     }
 
-    /// The read failed: once a second it is tried again.
-    fn pages_again(&mut self, number: u64) {
-        self.pages_retry.push(number);
-    }
-
     pub(crate) fn retry_pages(&mut self) {
         for number in std::mem::take(&mut self.pages_retry) {
-            let new = self.pages.map.get(&number).is_some_and(|p| p.stamp == 0);
-            self.read_page(number, new);
+            self.read_page(number);
         }
     }
 
--- a/crates/core/src/shares.rs
+++ b/crates/core/src/shares.rs
@@ -101,7 +101,7 @@
     }
 
     /// A job's own record as memory has it, without its share.
-    fn own_record(&self, job: &Job) -> JobRecord {
+    pub(crate) fn own_record(&self, job: &Job) -> JobRecord {
         let mut record = self.folded_record(job, &[]);
         if matches!(job.state, JobState::Aborted | JobState::Doubtful) {
             record.status = RecordedStatus::Aborted;
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -125,6 +125,15 @@
 /// The state service takes transactions up to this size.
 const TXN_BYTES: usize = 60 * 1024;
 
+/// How a write ended: its status, 503 if it was not sent, 0 if that can't be told.
+pub(crate) fn write_outcome(outcome: &Outcome) -> (u16, Option<TransactionAnswer>) {
+    match outcome {
+        Outcome::Answer(r) => (r.status, from_cbor(&r.body).ok()),
+        Outcome::NotSent => (503, None),
+        Outcome::Lost => (0, None),
+    }
+}
+
 /// The first of these chunks whose keys are no more than so many.
 fn first_within<'a>(
     chunks: impl Iterator<Item = (&'a u32, &'a Chunk)>,
@@ -172,7 +181,7 @@
         self.dirty.len()
     }
 
-    /// A chunk's record is on its way by other means.
+    /// A chunk's record is on its way.
     pub fn settled(&mut self, ix: JobIx, chunk: u32) {
         self.dirty.remove(&(ix, chunk));
     }
@@ -301,7 +310,7 @@
             self.store.note(purpose, share.changes());
             share.enter(&id, chunk, &mut txn.guards, &mut txn.apply);
             self.chunk_sent(ix, chunk, placed);
-            self.store.dirty.remove(&(ix, chunk));
+            self.store.settled(ix, chunk);
             items.push(FlushItem::Chunk { job: ix, chunk, placed });
         }
         self.weigh_supply(left_behind);
@@ -518,11 +527,7 @@
 
     pub(crate) fn on_flush(&mut self, items: Vec<FlushItem>, outcome: Outcome) {
         self.store.flushing = false;
-        let (status, answer) = match &outcome {
-            Outcome::Answer(r) => (r.status, from_cbor::<TransactionAnswer>(&r.body).ok()),
-            Outcome::NotSent => (503, None),
-            Outcome::Lost => (0, None),
-        };
+        let (status, answer) = write_outcome(&outcome);
         match (status, answer) {
             (200, Some(done)) => {
                 self.state_answered();
