--- /dev/null
+++ b/crates/scale/src/days.rs
@@ -0,0 +1,172 @@
+//! Days of our own for a site: controllers that end in every way, floods of each class, and
+//! guests who send small jobs faster than they can be recorded.
+
+use toml_edit::{Array, ArrayOfTables, DocumentMut, InlineTable, Item, Table, Value};
+
+use crate::site::SiteError;
+
+/// One-task jobs a second that guests send.
+const GUESTS: [f64; 3] = [15.0, 40.0, 80.0];
+/// How many times as many jobs of a class come in a flood.
+const FLOODS: [f64; 3] = [5.0, 8.0, 15.0];
+/// How long a flood lasts, as a part of the day, and when it begins.
+const FLOOD: f64 = 0.2;
+const BEGINS: f64 = 0.35;
+
+fn fault(at_s: f64, kind: &str, more: &[(&str, Value)]) -> InlineTable {
+    let mut f = InlineTable::new();
+    f.insert("at_s", at_s.into());
+    f.insert("kind", kind.into());
+    more.iter().for_each(|(k, v)| drop(f.insert(*k, v.clone())));
+    f
+}
+
+fn crash(at_s: f64, count: i64) -> InlineTable {
+    fault(at_s, "node_crash", &[("count", count.into()), ("busiest", true.into())])
+}
+
+fn lasting(at_s: f64, kind: &str, for_s: f64, more: &[(&str, Value)]) -> InlineTable {
+    let mut f = fault(at_s, kind, more);
+    f.insert("for_s", for_s.into());
+    f
+}
+
+struct Site {
+    /// Seconds of a day.
+    lasts: f64,
+    nodes: i64,
+    zone: Option<String>,
+    teams: Vec<String>,
+    classes: Vec<String>,
+}
+
+impl Site {
+    fn read(doc: &DocumentMut) -> Result<Site, SiteError> {
+        let names = |list: &'static str| -> Result<Vec<String>, SiteError> {
+            let tables = doc.get(list).and_then(Item::as_array_of_tables);
+            let tables = tables.ok_or(SiteError::Missing(list))?;
+            let name = |t: &Table| t.get("name").and_then(Item::as_str).map(str::to_string);
+            Ok(tables.iter().filter_map(name).collect())
+        };
+        let nodes = doc.get("nodes").ok_or(SiteError::Missing("nodes"))?;
+        let zones = nodes.get("zones").and_then(Item::as_array);
+        Ok(Site {
+            lasts: doc
+                .get("duration_s")
+                .and_then(Item::as_float)
+                .ok_or(SiteError::Missing("duration_s"))?,
+            nodes: nodes.get("count").and_then(Item::as_integer).unwrap_or(3),
+            zone: zones.and_then(|z| Some(z.get(0)?.as_str()?.to_string())),
+            teams: names("teams")?,
+            classes: names("jobs")?,
+        })
+    }
+
+    fn burst(&self, class: &str, factor: f64) -> InlineTable {
+        let more = [("class", class.into()), ("factor", factor.into())];
+        lasting(self.lasts * BEGINS, "job_burst", self.lasts * FLOOD, &more)
+    }
+
+    /// Ends of controllers, each with what else goes on meanwhile.
+    fn restarts(&self) -> Vec<(String, Vec<InlineTable>)> {
+        let from = self.lasts * 0.3;
+        let every = |s: f64, n: u32, count: i64| -> Vec<InlineTable> {
+            (0..n).map(|i| crash(from + s * f64::from(i), count)).collect()
+        };
+        let mut days = vec![
+            ("leader-crashes".to_string(), every(self.lasts * 0.08, 8, 1)),
+            ("all-crash-twice".into(), every(1.5, 2, self.nodes)),
+            ("all-crash-on".into(), every(5.0, 6, self.nodes)),
+            ("crash-loop".into(), every(1.3, 20, 1)),
+        ];
+        let busiest = [("count", Value::from(1)), ("busiest", true.into())];
+        let during = [
+            ("outage", lasting(from, "state_outage", 20.0, &[])),
+            ("slow-state", lasting(from, "state_slow", 60.0, &[("factor", 10.0.into())])),
+            ("pause", lasting(from, "node_freeze", 30.0, &busiest)),
+        ];
+        let zone = self.zone.iter().map(|z| {
+            let cut = [("zone", z.as_str().into()), ("mode", "hold".into())];
+            ("zone-cut", lasting(from, "zone_cut", 40.0, &cut))
+        });
+        for (name, trouble) in during.into_iter().chain(zone) {
+            let ends = [crash(from + 8.0, 1), crash(from + 9.0, self.nodes), crash(from + 30.0, 1)];
+            let faults = [trouble].into_iter().chain(ends).collect();
+            days.push((format!("restart-{name}"), faults));
+        }
+        days
+    }
+
+    /// Floods of each class, and of each two, with an end of the busiest in them.
+    fn floods(&self) -> Vec<(String, Vec<InlineTable>)> {
+        let end = || crash(self.lasts * (BEGINS + FLOOD / 2.0), 1);
+        let mut days = Vec::new();
+        for (at, class) in self.classes.iter().enumerate() {
+            for factor in FLOODS {
+                let faults = vec![self.burst(class, factor), end()];
+                days.push((format!("flood-{class}-x{factor}"), faults));
+            }
+            for other in &self.classes[at + 1..] {
+                let faults = vec![self.burst(class, 8.0), self.burst(other, 8.0), end()];
+                days.push((format!("flood-{class}-{other}"), faults));
+            }
+        }
+        days
+    }
+
+    /// A day on which a team without a guarantee sends so many one-task jobs a second.
+    fn guests(&self, rate: f64) -> Table {
+        let (from, to) = (self.lasts * BEGINS, self.lasts * (BEGINS + FLOOD));
+        let ends = [crash(from + 20.0, 1), crash(from + 60.0, 1)];
+        let mut day = table(&format!("guests-{rate}"), ends);
+        let mut guest = InlineTable::new();
+        guest.insert("name", "guests".into());
+        guest.insert("weight", 1.0.into());
+        day.insert("teams", Item::Value(Array::from_iter([Value::from(guest)]).into()));
+        let own = Array::from_iter(self.teams.iter().map(String::as_str));
+        let mut jobs = Array::new();
+        for class in &self.classes {
+            let mut job = InlineTable::new();
+            job.insert("name", class.as_str().into());
+            job.insert("teams", own.clone().into());
+            jobs.push(job);
+        }
+        let mut swarm = match SWARM.parse::<Value>() {
+            Ok(Value::InlineTable(t)) => t,
+            _ => unreachable!("an inline table"),
+        };
+        let mut arrivals = InlineTable::new();
+        arrivals.insert("rate", rate.into());
+        arrivals.insert("start_s", from.into());
+        arrivals.insert("stop_s", to.into());
+        swarm.insert("arrivals", arrivals.into());
+        jobs.push(swarm);
+        day.insert("jobs", Item::Value(jobs.into()));
+        day
+    }
+}
+
+/// What guests send: a task of a quarter of a CPU for half a minute.
+const SWARM: &str = r#"{ name = "guest-swarm", kind = "array", priority = "low", teams = ["guests"], cpus = 0.25, gpus = 0.0, memory_gb = 0.9, vary = 0.3, spot = true, tasks = { sizes = [1], weights = [1.0] }, run_s = { median = 20.0, p95 = 40.0, max = 60.0 }, estimate_error = 0.2, checkpoint_s = 0.0, save_s = 0.0, images = { count = 1, gb = { median = 0.5, p95 = 0.6, max = 0.8 } } }"#;
+
+fn table(name: &str, faults: impl IntoIterator<Item = InlineTable>) -> Table {
+    let mut day = Table::new();
+    day.insert("name", toml_edit::value(name));
+    day.insert("slot", toml_edit::value("scale"));
+    day.insert("light", toml_edit::value(false));
+    day.insert("seed", toml_edit::value(1));
+    let faults = Array::from_iter(faults.into_iter().map(Value::from));
+    day.insert("faults", toml_edit::value(faults));
+    day
+}
+
+/// Puts days of our own in the place of the file's.
+pub fn replace(doc: &mut DocumentMut) -> Result<(), SiteError> {
+    let site = Site::read(doc)?;
+    let mut days = ArrayOfTables::new();
+    let with_faults = site.restarts().into_iter().chain(site.floods());
+    with_faults.for_each(|(name, faults)| days.push(table(&name, faults)));
+    GUESTS.iter().for_each(|rate| days.push(site.guests(*rate)));
+    doc.insert("day", Item::ArrayOfTables(days));
+    Ok(())
+}
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,7 +1,9 @@
 //! `qg-scale`: what a controller costs as its fleet grows.
 
+mod days;
 mod load;
 mod plot;
+mod served;
 mod site;
 
 use std::path::PathBuf;
@@ -35,15 +37,23 @@
     /// Writes a site file of the bench with a larger fleet.
     Multiply {
         site: PathBuf,
-        /// How many times as many machines, with their arrivals, teams and sockets.
-        #[arg(long, default_value_t = 2.0)]
-        by: f64,
-        /// How many times as many calls a second the state service and the cloud take.
-        #[arg(long, default_value_t = 1.0)]
-        rates: f64,
+        #[command(flatten)]
+        growth: site::Growth,
         #[arg(long)]
         out: PathBuf,
     },
+    /// Tells from reports of the bench which share of each class and team was served; fails
+    /// if any is below.
+    Served {
+        #[arg(required = true)]
+        reports: Vec<PathBuf>,
+        /// The share (0 to 1) that every class and team is to reach.
+        #[arg(long, default_value_t = 0.5)]
+        least: f64,
+        /// All classes and teams, not the least served of each day only.
+        #[arg(long)]
+        all: bool,
+    },
     /// Draws what is kept as the fleet grows, from lines of `machines,aim,version,kept`.
     Plot {
         table: PathBuf,
@@ -103,10 +113,11 @@
             let text = std::fs::read_to_string(&table).map_err(|e| named(e.to_string()))?;
             plot::plot(&text, &out).map_err(|e| named(e.to_string()))?;
         }
-        Command::Multiply { site, by, rates, out } => {
+        Command::Served { reports, least, all } => served::tell(&reports, least, all)?,
+        Command::Multiply { site, growth, out } => {
             let named = |e| format!("{}: {e}", site.display());
             let text = std::fs::read_to_string(&site).map_err(|e| named(e.to_string()))?;
-            let more = site::multiply(&text, by, rates).map_err(|e| named(e.to_string()))?;
+            let more = site::multiply(&text, &growth).map_err(|e| named(e.to_string()))?;
             std::fs::write(&out, more).map_err(|e| format!("{}: {e}", out.display()))?;
         }
     }
--- a/crates/scale/src/site.rs
+++ b/crates/scale/src/site.rs
@@ -1,5 +1,6 @@
-//! A site file of a larger fleet: machines, capacity, arrivals, teams and sockets are
-//! multiplied; the controllers' processor and memory, the state service and the cloud stay.
+//! A site file of a larger fleet: machines, capacity, arrivals and teams are multiplied; the
+//! controllers' processor and memory stay, and the state service, the cloud and the sockets
+//! unless asked for.
 
 use toml_edit::{DocumentMut, Item, Table, Value};
 
@@ -30,12 +31,37 @@
     ("jobs", &["initial"]),
 ];
 
-/// The same site with a fleet so many times as large, and its rates at the state service
-/// and the cloud so many times as high.
-pub fn multiply(text: &str, by: f64, rates: f64) -> Result<String, SiteError> {
+/// How a site is to be other than it is.
+#[derive(clap::Args, Clone, Debug)]
+pub struct Growth {
+    /// How many times as many machines, with their capacity and teams.
+    #[arg(long, default_value_t = 2.0)]
+    pub by: f64,
+    /// How many times as many jobs; as the machines if left out.
+    #[arg(long)]
+    pub arrivals: Option<f64>,
+    /// How many times as many sockets; as the machines if left out.
+    #[arg(long)]
+    pub sockets: Option<f64>,
+    /// How many times as many calls a second the state service and the cloud take.
+    #[arg(long, default_value_t = 1.0)]
+    pub rates: f64,
+    /// Seconds after which a controller that has ended is started again.
+    #[arg(long)]
+    pub restart_delay: Option<f64>,
+    /// Days of our own instead of those of the file: restarts, floods, guests.
+    #[arg(long)]
+    pub own_days: bool,
+}
+
+/// The same site, grown.
+pub fn multiply(text: &str, growth: &Growth) -> Result<String, SiteError> {
+    let (by, rates) = (growth.by, growth.rates);
+    let arrivals = growth.arrivals.unwrap_or(by);
     let mut doc: DocumentMut = text.parse()?;
     for (list, keys) in LISTS {
         let tables = doc.get_mut(list).and_then(Item::as_array_of_tables_mut);
+        let by = if list == "jobs" { arrivals } else { by };
         for table in tables.ok_or(SiteError::Missing(list))?.iter_mut() {
             keys.iter().for_each(|key| times(table, key, by));
             if let Some(a) = table.get_mut("arrivals").and_then(Item::as_inline_table_mut) {
@@ -46,7 +72,11 @@
         }
     }
     let nodes = doc.get_mut("nodes").and_then(Item::as_table_mut);
-    times(nodes.ok_or(SiteError::Missing("nodes"))?, "max_connections", by);
+    let nodes = nodes.ok_or(SiteError::Missing("nodes"))?;
+    times(nodes, "max_connections", growth.sockets.unwrap_or(by));
+    if let Some(s) = growth.restart_delay {
+        nodes.insert("restart_delay_s", toml_edit::value(s));
+    }
     for (table, keys) in [("state", &["rps", "write_rps"][..]), ("cloud", &["rps"][..])] {
         let found = doc.get_mut(table).and_then(Item::as_table_mut);
         let found = found.ok_or(SiteError::Missing(table))?;
@@ -59,6 +89,9 @@
             }
         }
     }
+    if growth.own_days {
+        crate::days::replace(&mut doc)?;
+    }
     Ok(doc.to_string())
 }
 
@@ -76,6 +109,11 @@
 mod tests {
     use super::*;
 
+    fn by(by: f64) -> Growth {
+        let (arrivals, sockets, restart_delay) = (None, None, None);
+        Growth { by, arrivals, sockets, rates: 1.0, restart_delay, own_days: false }
+    }
+
     const SITE: &str = r#"
 name = "s"
 [nodes]
@@ -113,7 +151,7 @@
     /// controllers; troubles of machines grow with it, those of controllers don't.
     #[test]
     fn a_fleet_is_multiplied_and_its_controllers_are_not() {
-        let more: DocumentMut = multiply(SITE, 2.0, 1.0).unwrap().parse().unwrap();
+        let more: DocumentMut = multiply(SITE, &by(2.0)).unwrap().parse().unwrap();
         let number = |path: &[&str]| {
             let mut item: &Item = more.as_item();
             for key in path {
@@ -141,8 +179,34 @@
     /// Guards against a file that is no site being passed on as one.
     #[test]
     fn what_is_no_site_is_refused_by_name() {
-        let error = multiply("name = 'x'", 2.0, 1.0).unwrap_err().to_string();
+        let error = multiply("name = 'x'", &by(2.0)).unwrap_err().to_string();
         assert!(error.contains("capacity"), "{error}");
-        assert!(multiply("name = ", 2.0, 1.0).is_err());
+        assert!(multiply("name = ", &by(2.0)).is_err());
+    }
+
+    /// Guards what a day of our own is: every class of the site in a flood, guests that keep
+    /// to their own class, restarts that are as quick as asked for, and sockets left alone.
+    #[test]
+    fn days_of_our_own_flood_each_class_and_team() {
+        let growth = Growth {
+            sockets: Some(1.0),
+            arrivals: Some(1.0),
+            restart_delay: Some(0.2),
+            own_days: true,
+            ..by(1.5)
+        };
+        let site = format!("duration_s = 300.0\n{SITE}");
+        let own: DocumentMut = multiply(&site, &growth).unwrap().parse().unwrap();
+        assert_eq!(own["nodes"]["restart_delay_s"].as_float(), Some(0.2));
+        assert_eq!(own["nodes"]["max_connections"].as_integer(), Some(100));
+        assert_eq!(own["jobs"][0]["initial"].as_integer(), Some(5));
+        let days = own["day"].as_array_of_tables().unwrap();
+        let named = |name: &str| days.iter().find(|d| d["name"].as_str() == Some(name));
+        let flood = named("flood-j-x8").unwrap().to_string();
+        assert!(flood.contains("job_burst") && flood.contains("node_crash"), "{flood}");
+        let guests = named("guests-80").unwrap();
+        let jobs = guests["jobs"].as_array().unwrap().to_string();
+        assert!(jobs.contains("rate = 80.0") && jobs.contains("teams = [\"t\"]"), "{jobs}");
+        assert!(named("d").is_none());
     }
 }
