Pages are made one at a time; a refused one gave away a number that was taken

A page refused with 429 gave its number back while the next page was under way or stood; the number after it was then used twice, and jobs counted as accepted that stood nowhere, until the next leader's 404.

Ruled out: looks through the pages that miss one, and followers that do not know the format.

What comes together waits until the newest page is known to stand; whoever has waited for two batches is turned away at once.

--- a/crates/core/src/pages.rs
+++ b/crates/core/src/pages.rs
@@ -82,8 +82,7 @@
     map: BTreeMap<u64, Page>,
     last: u64,
     /// Submissions that wait for the next page, and since when.
-    intake: Vec<(RequestId, JobIx)>,
-    since_ms: u64,
+    intake: Vec<(RequestId, JobIx, u64)>,
     /// A page was opened then: the next acceptances join as well.
     opened_ms: Option<u64>,
     scan: Option<Scan>,
@@ -147,6 +146,11 @@
         self.unreadable.contains(id)
     }
 
+    /// The newest page is not known to stand yet.
+    fn making(&self) -> bool {
+        self.map.get(&self.last).is_some_and(|p| p.stamp == 0)
+    }
+
     fn busy(&self, number: u64) -> bool {
         self.map.get(&number).is_none_or(|p| p.state != PageState::Stands)
     }
@@ -194,37 +198,35 @@
         let at_ms = self.now.wall_ms;
         let job = self.new_job(spec, team, JobState::Recording, 0, at_ms);
         let ix = self.jobs.insert(job);
-        if self.pages.intake.is_empty() {
-            self.pages.since_ms = self.now.steady_ms;
-        }
-        self.pages.intake.push((id, ix));
+        self.pages.intake.push((id, ix, self.now.steady_ms));
         true
     }
 
-    /// Records what has been taken in, once a little has come together.
+    /// Records what has been taken in, once a little has come together. One page is made at a
+    /// time: whether its number is taken has to be known before the next has one.
     pub(crate) fn flush_intake(&mut self) {
+        let Some((_, _, since_ms)) = self.pages.intake.first() else { return };
         let now = self.now.steady_ms;
-        let waited = now.saturating_sub(self.pages.since_ms);
-        let most = self.page_guards();
-        let many = self.pages.intake.len() >= most;
-        if self.pages.intake.is_empty() || !many && waited < self.cfg.batch_ms() / 2 {
+        let many = self.pages.intake.len() >= self.page_guards();
+        if !many && now < since_ms + self.cfg.batch_ms() / 2 {
             return;
         }
-        if self.store.writes.room(now, 0.0) < 1.0 {
+        if self.pages.making() || self.store.writes.room(now, 0.0) < 1.0 {
             // Whoever can't be recorded soon is told at once.
-            if waited > 2 * self.cfg.batch_ms() {
-                for (id, ix) in std::mem::take(&mut self.pages.intake) {
-                    self.drop_job(ix);
-                    self.turn_away(id);
-                }
+            let late = now.saturating_sub(2 * self.cfg.batch_ms());
+            let n = self.pages.intake.iter().take_while(|(_, _, since)| *since < late).count();
+            for (id, ix, _) in self.pages.intake.drain(..n).collect::<Vec<_>>() {
+                self.drop_job(ix);
+                self.turn_away(id);
             }
             return;
         }
+        let most = self.page_guards();
         let number = self.pages.last + 1;
         let (mut size, mut asked) = (0, Vec::new());
         let intake = std::mem::take(&mut self.pages.intake);
         let mut left = intake.into_iter().peekable();
-        while let Some((_, ix)) = left.peek() {
+        while let Some((_, ix, _)) = left.peek() {
             let Some(job) = self.jobs.get(*ix) else {
                 left.next();
                 continue;
@@ -234,7 +236,7 @@
                 break;
             }
             size += bytes;
-            asked.extend(left.next());
+            asked.extend(left.next().map(|(id, ix, _)| (id, ix)));
         }
         self.pages.intake = left.collect();
         self.pages.opened_ms = Some(now);
@@ -490,8 +492,10 @@
             j.page = None;
             j.chunks.values_mut().for_each(|c| c.busy = false);
         }
+        let now = self.now.steady_ms;
         let later = std::mem::take(&mut self.pages.intake);
-        self.pages.intake = page.asked.into_iter().chain(later).collect();
+        let again = page.asked.into_iter().map(|(id, ix)| (id, ix, now));
+        self.pages.intake = again.chain(later).collect();
     }
 
     /// A page was certainly not written anew: memory is still ahead of it.
@@ -586,7 +590,8 @@
         let pages = std::mem::take(&mut self.pages);
         self.pages_retry.clear();
         let asked = pages.map.into_values().flat_map(|p| p.asked);
-        asked.chain(pages.intake).for_each(|(id, _)| self.answer_busy(id));
+        let taken_in = pages.intake.into_iter().map(|(id, ix, _)| (id, ix));
+        asked.chain(taken_in).for_each(|(id, _)| self.answer_busy(id));
         // Looks through the pages don't depend on who leads.
         (self.pages.scan, self.pages.queue) = (pages.scan, pages.queue);
         self.pages.scanned_ms = pages.scanned_ms;
--- a/crates/core/tests/stories/pages.rs
+++ b/crates/core/tests/stories/pages.rs
@@ -253,6 +253,33 @@
     }
 }
 
+/// Guards the numbers of pages: one is refused for lack of changes while more jobs come. What
+/// comes meanwhile waits for the refusal, for a page that stood already would be written over,
+/// and the jobs of the later one counted as accepted that stood nowhere.
+#[test]
+fn a_page_is_refused_while_the_next_comes_together() {
+    for case in 0..12u64 {
+        let mut w = world(12, 720 + case);
+        let leader = w.leader().unwrap();
+        w.run_ms = (0..16).map(|n| (name(n), 9_000)).collect();
+        w.state.busy_for = Some((format!("{PAGES}{:012}", 1), 150 + 60 * case));
+        for n in 0..4 {
+            together(&mut w, leader, 4 * n..4 * n + 4, 1);
+            w.run(130);
+        }
+        w.run(1_000);
+        assert!(w.state.busy_for.is_none());
+        (0..16).for_each(|n| w.submit_surely(&job(&name(n), Shape::Array, 1)));
+        w.keep_rules();
+        (0..3).for_each(|n| w.kill_for(n, 200));
+        for n in 0..16 {
+            w.submit_surely(&job(&name(n), Shape::Array, 1));
+            w.until_done(&name(n), 60_000);
+        }
+        w.keep_rules();
+    }
+}
+
 /// Guards what can't be read in a page: one job's entry stops that job alone; of a whole
 /// page its jobs; loudly, and left as it is. Other jobs go on, and no job in it is told to
 /// be unknown or accepted anew.
--- a/crates/core/tests/stories/world.rs
+++ b/crates/core/tests/stories/world.rs
@@ -91,6 +91,8 @@
     pub swallow_answers: u32,
     /// Answers this node's transactions 503 without executing them, after so long.
     pub refuses_late: Option<(usize, u64)>,
+    /// The next write that sets this key is answered 429, after so many milliseconds.
+    pub busy_for: Option<(String, u64)>,
     /// Carries no post between controllers.
     pub no_post: bool,
     /// Watches of what is recorded past the leader hear nothing.
@@ -1009,6 +1011,13 @@
                 let ms = late.map_or(1, |(_, ms)| ms);
                 return self.after(ms, Msg::Outcome { node: from, life, call: call.id, outcome });
             }
+            let sets = |key: &str| {
+                txn.apply.iter().any(|c| matches!(c, Change::Set { set, .. } if set == key))
+            };
+            if let Some((_, ms)) = self.state.busy_for.take_if(|(key, _)| sets(key)) {
+                let outcome = Outcome::Answer(Response::new(429, Vec::new()));
+                return self.after(ms, Msg::Outcome { node: from, life, call: call.id, outcome });
+            }
             let step = |c: &Change| matches!(c, Change::Set { set, .. } if set == FORMAT);
             if self.state.hold_steps && txn.apply.iter().any(step) {
                 return self.held.push((from, life, call));
