Looks through pages follow changes; guests' ends go after all others'

Ruled out: a filter in the page's key (keys are read whole with their values); a cache of decoded pages by stamp (the list still carries and decodes all values).

A follower keeps what stood in the pages and asks what has changed since; the leader, who knows all pages, makes one comparison: it still leads, and there is no record. No look is made where a submission could not be recorded anyway. Ends of guests use what is spare, as their deals do. Urgent work does not wait for a page. A part of the calls' sockets, not 16, is for each sibling. A page found where a new one was to be is compared with memory.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -24,6 +24,9 @@
 use crate::store::{FlushItem, Purpose};
 use crate::{Outcome, Peer, RequestId};
 
+/// Changes past the leader: a record, and the note of it.
+const ALONE_CHANGES: f64 = 2.0;
+
 /// Why a well-formed job can never run.
 pub(crate) enum Verdict {
     Fits,
@@ -240,7 +243,7 @@
         no_page: Option<u64>,
     ) {
         let now = self.now.steady_ms;
-        if !self.store.writes.take(now, 2.0, 0.0) {
+        if !self.store.writes.take(now, ALONE_CHANGES, 0.0) {
             return self.answer_busy(id);
         }
         let job = spec.id.clone();
@@ -360,6 +363,10 @@
             if !self.has(Feature::SharedPages) {
                 return self.record_alone(id, spec, cancelled, None);
             }
+            // No look is worth it where it couldn't be recorded.
+            if self.store.writes.room(self.now.steady_ms, 0.0) < ALONE_CHANGES {
+                return self.answer_busy(id);
+            }
             // It may stand in a page: it is looked for first.
             let job = spec.id.clone();
             let pending = Pending::AloneRead { request: id, spec: Box::new(spec), cancelled };
@@ -688,7 +695,7 @@
             };
         }
         let now = self.now.steady_ms;
-        if !self.store.writes.take(now, 2.0, 0.0) {
+        if !self.store.writes.take(now, ALONE_CHANGES, 0.0) {
             return self.answer_busy(id);
         }
         record.status = RecordedStatus::Aborted;
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -68,7 +68,9 @@
     AloneRead { request: RequestId, spec: Box<JobSpec>, cancelled: bool },
     LookFirst(LookUp),
     LookLast(LookUp),
+    LookAbsent { look: LookUp, epoch: u64 },
     PageScan,
+    PageChanges,
     PageWrite { number: u64, epoch: u64 },
     PageRead { number: u64, epoch: u64 },
     Compare { compared: Compared, epoch: u64 },
@@ -281,7 +283,7 @@
         self.tick_post();
         self.tick_polls();
         self.tick_chains();
-        self.scan_pages();
+        self.look_through();
         if !self.leads() {
             return;
         }
@@ -379,7 +381,9 @@
             }
             Pending::LookFirst(look) => self.on_look_first(look, outcome),
             Pending::LookLast(look) => self.on_look_last(look, outcome),
+            Pending::LookAbsent { look, epoch } => self.on_look_absent(look, epoch, outcome),
             Pending::PageScan => self.on_page_scan(outcome),
+            Pending::PageChanges => self.on_page_changes(outcome),
             Pending::Forward { request, sibling, work } => {
                 self.on_forwarded(request, sibling, *work, outcome)
             }
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -45,8 +45,13 @@
 impl Controller {
     /// Work without haste of a team without a guarantee: it uses what is spare.
     pub(crate) fn guest(&self, job: &Job) -> bool {
-        let team = &self.cfg.platform.params.teams[job.team];
-        job.rank == Rank::Low && team.cpus <= 0.0 && team.gpus <= 0.0
+        self.guests(job.team, job.rank)
+    }
+
+    /// The same, of a team's work of this priority.
+    pub(crate) fn guests(&self, team: usize, rank: Rank) -> bool {
+        let team = &self.cfg.platform.params.teams[team];
+        rank == Rank::Low && team.cpus <= 0.0 && team.gpus <= 0.0
     }
 
     pub(crate) fn capacity_of(&self, kind: &str) -> Option<Room> {
--- a/crates/core/src/pages.rs
+++ b/crates/core/src/pages/mod.rs
@@ -9,27 +9,34 @@
 //! - Pages are numbered one after another, none is skipped, none added to, and the last is
 //!   never deleted. An acceptance past the leader is guarded by there being no page after
 //!   the last that was looked through: no job is accepted twice.
-//! - Whoever finds no record of a job looks through all pages, then for the record once
-//!   more. All who ask meanwhile share the next look.
+//! - The leader knows all pages: that it still leads and that there is no record of a job is
+//!   one comparison. Whoever else finds no record looks through the pages (`index.rs`), then
+//!   for the record once more. All who ask meanwhile share the next look.
+
+mod index;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use quartzgate_ladder::Feature;
 use quartzgate_wire::http::Response;
-use quartzgate_wire::msg::{Change, Guard, JobSpec, Pair, PairList, Shape, Transaction};
+use quartzgate_wire::msg::{
+    Change, ChangeLog, Guard, JobSpec, Pair, PairList, Rank, Shape, Transaction, TransactionAnswer,
+};
 use quartzgate_wire::{from_cbor, to_cbor};
 
 use crate::controller::{Controller, Pending};
 use crate::ids::JobIx;
 use crate::jobs::JobState;
 use crate::records::{
-    checked_size, decode, encode, inline_piece, job_key, page_key, page_number, JobRecord,
-    PageRecord, PAGES, VIEW,
+    checked_size, decode, encode, inline_piece, job_key, page_key, JobRecord, PageRecord, PAGES,
+    VIEW,
 };
 use crate::shares::Placed;
 use crate::store::{write_outcome, Purpose};
 use crate::{Outcome, RequestId};
 
+use index::{Found, Index};
+
 /// How a page stands to its record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PageState {
@@ -59,22 +66,18 @@
 #[derive(Debug)]
 pub(crate) struct LookUp {
     job: String,
-    found: Option<JobRecord>,
-    /// It stands in a page, and can't be read there.
-    damaged: bool,
+    found: Option<Box<JobRecord>>,
     /// The last page that was there.
     last: u64,
     then: Box<Pending>,
 }
 
-/// One look through all pages, for all who ask.
-#[derive(Debug, Default)]
-struct Scan {
+/// One look through the pages, for all who ask.
+struct Look {
     wanted: Vec<LookUp>,
-    last: u64,
+    /// What is read so far, if all pages are read.
+    whole: Option<Index>,
     since: Option<String>,
-    /// A page can't be read: nobody can say of a job that it was never accepted.
-    damaged: bool,
 }
 
 #[derive(Default)]
@@ -85,11 +88,13 @@
     intake: Vec<(RequestId, JobIx, u64)>,
     /// A page was opened then: the next acceptances join as well.
     opened_ms: Option<u64>,
-    scan: Option<Scan>,
+    look: Option<Look>,
     /// Who asked after the present look began.
     queue: Vec<LookUp>,
-    /// When the last look began: reading all pages is dear, and all who ask share it.
-    scanned_ms: u64,
+    /// What is known of the pages of whoever leads.
+    index: Index,
+    /// When the last look began: all who ask meanwhile share the next.
+    looked_ms: u64,
     /// The last page of the look that answered last.
     pub looked_last: u64,
     /// Jobs that can't be read in their pages.
@@ -99,8 +104,8 @@
 /// Questions that wait for a look through the pages.
 const LOOKS_MOST: usize = 1_000;
 /// Pages read at a time.
-const SCAN_PAGE: u32 = 60;
-/// Jobs in pages at a time: their ends take a change each, for so many seconds.
+const READ_AT_ONCE: u32 = 60;
+/// Guests' jobs in pages at a time: their ends take a change each, for so many seconds.
 const ENDS_S: f64 = 120.0;
 /// What a task of a page may come to take once it is dealt: two names and their places.
 const TASK_BYTES: usize = 44;
@@ -151,6 +156,12 @@
         self.map.get(&self.last).is_some_and(|p| p.stamp == 0)
     }
 
+    /// Every job that stands in a page is in memory.
+    fn all_known(&self) -> bool {
+        self.unreadable.is_empty()
+            && self.map.values().all(|p| !p.sealed && (p.stamp > 0 || !p.doubt))
+    }
+
     fn busy(&self, number: u64) -> bool {
         self.map.get(&number).is_none_or(|p| p.state != PageState::Stands)
     }
@@ -166,7 +177,9 @@
 impl Controller {
     /// Whether a submission is to share a record.
     pub(crate) fn shares_page(&mut self, spec: &JobSpec) -> bool {
+        // What is urgent does not wait for more to come together.
         if !self.has(Feature::SharedPages)
+            || spec.rank >= Rank::High
             || spec.shape != Shape::Array
             || !spec.dependencies.is_empty()
         {
@@ -191,7 +204,9 @@
 
     /// Takes a submission for the next page; false if there are too many already.
     pub(crate) fn take_in(&mut self, id: RequestId, spec: JobSpec, team: usize) -> bool {
-        let most = self.store.writes.rate() * ENDS_S;
+        // Guests leave as much again to all others.
+        let part = if self.guests(team, spec.rank) { 1.0 } else { 2.0 };
+        let most = self.store.writes.rate() * ENDS_S * part;
         if self.pages.members() + self.pages.intake.len() >= most as usize {
             return false;
         }
@@ -534,19 +549,11 @@
         let Some(page) = self.pages.map.get_mut(&number) else { return };
         let new = page.stamp == 0;
         match pair {
-            // Its jobs were accepted by whichever of our writes it was; all hold the same.
             Some(pair) => {
                 page.stamp = pair.stamp;
                 self.pages.page_to(number, PageState::Stands);
                 if new {
-                    // Which version of the shares stands is not known: they are written again.
-                    for ix in self.pages.map[&number].members.clone() {
-                        if self.jobs.get(ix).is_some_and(|j| j.state == JobState::Recording) {
-                            self.link(ix);
-                            self.job_to(ix, JobState::Live);
-                        }
-                        self.store.touch_job(ix);
-                    }
+                    self.compare_page(number, decode(&pair.value));
                 }
                 self.page_unwritten(number, false);
                 self.tidy_page(number);
@@ -556,6 +563,35 @@
         }
     }
 
+    /// A new page stands by a write of ours that got no answer: jobs that it holds are accepted.
+    /// Which version of their shares stands is not known: they are written again.
+    fn compare_page(&mut self, number: u64, stands: Option<PageRecord>) {
+        let members = self.pages.map.get(&number).map(|p| p.members.clone());
+        for ix in members.into_iter().flatten() {
+            let Some(id) = self.jobs.get(ix).map(|j| j.id.clone()) else { continue };
+            match &stands {
+                Some(page) if page.holds(&id) => {
+                    if self.jobs.get(ix).is_some_and(|j| j.state == JobState::Recording) {
+                        self.link(ix);
+                        self.job_to(ix, JobState::Live);
+                    }
+                    self.store.touch_job(ix);
+                }
+                Some(_) => self.drop_job(ix),
+                None => {
+                    self.pages.seal(number, Some(id));
+                    self.drop_job(ix);
+                }
+            }
+        }
+        // An earlier write held more than we know of: it is left alone, and read by all.
+        let all = stands.is_some_and(|p| p.ids().all(|id| self.jobs.find(id).is_some()));
+        if !all {
+            tracing::error!(number, "a page holds other jobs than it should; it is left alone");
+            self.pages.seal(number, None);
+        }
+    }
+
     pub(crate) fn retry_pages(&mut self) {
         for number in std::mem::take(&mut self.pages_retry) {
             self.read_page(number);
@@ -593,8 +629,8 @@
         let taken_in = pages.intake.into_iter().map(|(id, ix, _)| (id, ix));
         asked.chain(taken_in).for_each(|(id, _)| self.answer_busy(id));
         // Looks through the pages don't depend on who leads.
-        (self.pages.scan, self.pages.queue) = (pages.scan, pages.queue);
-        self.pages.scanned_ms = pages.scanned_ms;
+        (self.pages.look, self.pages.queue) = (pages.look, pages.queue);
+        (self.pages.looked_ms, self.pages.index) = (pages.looked_ms, pages.index);
     }
 
     // Looking a job up, wherever it stands.
@@ -606,7 +642,7 @@
             return self.state_call("GET", target, Vec::new(), then);
         }
         let (job, then) = (job.to_string(), Box::new(then));
-        let look = LookUp { job, found: None, damaged: false, last: 0, then };
+        let look = LookUp { job, found: None, last: 0, then };
         self.state_call("GET", target, Vec::new(), Pending::LookFirst(look));
     }
 
@@ -623,83 +659,167 @@
             record.at_ms = job.at_ms;
             return self.found_in_page(&look.job, &record, *look.then);
         }
+        if self.leads() && self.pages.all_known() {
+            return self.ask_whether_absent(look);
+        }
         if self.pages.queue.len() >= LOOKS_MOST {
             return self.on_outcome(*look.then, Outcome::NotSent);
         }
         self.pages.queue.push(look);
-        self.scan_pages();
+        self.look_through();
+    }
+
+    /// No page of ours holds the job: that goes for all pages as long as we lead.
+    fn ask_whether_absent(&mut self, mut look: LookUp) {
+        look.last = self.pages.last;
+        let guards = vec![
+            Guard { path: VIEW.into(), stamp: self.member.view_stamp },
+            Guard { path: job_key(&look.job), stamp: 0 },
+        ];
+        let body = to_cbor(&Transaction { guards, apply: Vec::new() });
+        self.member.reads.force(self.now.steady_ms, 1.0);
+        let pending = Pending::LookAbsent { look, epoch: self.epoch() };
+        self.state_call("POST", "/multi".into(), body, pending);
+    }
+
+    pub(crate) fn on_look_absent(&mut self, look: LookUp, epoch: u64, outcome: Outcome) {
+        let (status, answer) = write_outcome(&outcome);
+        // It may have been submitted meanwhile.
+        let known = epoch != self.epoch() || self.jobs.find(&look.job).is_some();
+        match (status, answer) {
+            (200, Some(_)) if !known => {
+                self.pages.looked_last = look.last;
+                let absent = Outcome::Answer(Response::new(404, Vec::new()));
+                self.on_outcome(*look.then, absent)
+            }
+            (409, Some(TransactionAnswer { failed, .. })) if failed.iter().any(|p| p == VIEW) => {
+                if epoch == self.epoch() {
+                    self.superseded();
+                }
+                self.on_outcome(*look.then, Outcome::NotSent)
+            }
+            // It has a record by now.
+            (409, Some(_)) => self.look_again(look),
+            (429 | 503, _) => {
+                self.state_busy(status);
+                self.on_outcome(*look.then, Outcome::NotSent)
+            }
+            _ => self.on_outcome(*look.then, Outcome::NotSent),
+        }
     }
 
     /// Looks through the pages for all who wait, once a batch's time at most.
-    pub(crate) fn scan_pages(&mut self) {
+    pub(crate) fn look_through(&mut self) {
         let now = self.now.steady_ms;
-        let soon = self.pages.scanned_ms > 0 && now < self.pages.scanned_ms + self.cfg.batch_ms();
-        if soon || self.pages.scan.is_some() || self.pages.queue.is_empty() {
+        if self.pages.look.is_some() {
             return;
         }
-        self.pages.scanned_ms = now;
+        if now > self.pages.index.at_ms + self.cfg.lease_ms() {
+            self.pages.index = Index::default();
+        }
+        let soon = self.pages.looked_ms > 0 && now < self.pages.looked_ms + self.cfg.batch_ms();
+        if soon || self.pages.queue.is_empty() {
+            return;
+        }
+        self.pages.looked_ms = now;
         let wanted = std::mem::take(&mut self.pages.queue);
-        self.pages.scan = Some(Scan { wanted, ..Scan::default() });
-        self.scan_on();
+        let known = self.pages.index.rev(now, self.cfg.report_ms());
+        let whole = known.is_none().then(Index::default);
+        self.pages.look = Some(Look { wanted, whole, since: None });
+        match known {
+            Some(rev) => {
+                let target = format!("/changes?starts={PAGES}&since={rev}&block_ms=0");
+                self.call_for_pages(target, Pending::PageChanges);
+            }
+            None => self.read_on(),
+        }
     }
 
-    fn scan_on(&mut self) {
-        let Some(scan) = &self.pages.scan else { return };
-        let mut target = format!("/keys?starts={PAGES}&most={SCAN_PAGE}");
-        if let Some(since) = &scan.since {
-            target.push_str(&format!("&since={since}"));
-        }
+    fn call_for_pages(&mut self, target: String, pending: Pending) {
         self.member.reads.force(self.now.steady_ms, 1.0);
         let timeout = 3 * self.cfg.state_timeout_ms();
-        self.call(crate::Peer::State, "GET", target, Vec::new(), timeout, Pending::PageScan);
+        self.call(crate::Peer::State, "GET", target, Vec::new(), timeout, pending);
+    }
+
+    /// Reads all pages, some at a time.
+    fn read_on(&mut self) {
+        let Some(look) = &self.pages.look else { return };
+        let mut target = format!("/keys?starts={PAGES}&most={READ_AT_ONCE}");
+        if let Some(since) = &look.since {
+            target.push_str(&format!("&since={since}"));
+        }
+        self.call_for_pages(target, Pending::PageScan);
     }
 
     pub(crate) fn on_page_scan(&mut self, outcome: Outcome) {
-        let Some(mut scan) = self.pages.scan.take() else { return };
+        let Some(mut look) = self.pages.look.take() else { return };
         let list = match outcome {
             Outcome::Answer(r) if r.status == 200 => from_cbor::<PairList>(&r.body).ok(),
             _ => None,
         };
-        let Some(list) = list else {
-            for look in scan.wanted {
-                self.on_outcome(*look.then, Outcome::NotSent);
-            }
-            return self.scan_pages();
+        let (Some(list), Some(mut whole)) = (list, look.whole.take()) else {
+            return self.look_failed(look);
         };
-        self.state_answered();
-        for pair in &list.pairs {
-            let Some(number) = page_number(&pair.path) else { continue };
-            scan.last = scan.last.max(number);
-            let Some(page) = decode::<PageRecord>(&pair.value) else {
-                tracing::error!(number, "a page can't be read; jobs in it can't be told");
-                scan.damaged = true;
-                continue;
-            };
-            for look in &mut scan.wanted {
-                if page.holds(&look.job) {
-                    look.found = page.get(&look.job);
-                    look.damaged = look.found.is_none();
-                }
-            }
-        }
+        whole.read(&list);
         let end = list.pairs.last().map(|p| p.path.clone());
         if list.more && end.is_some() {
-            scan.since = end;
-            self.pages.scan = Some(scan);
-            return self.scan_on();
+            (look.since, look.whole) = (end, Some(whole));
+            self.pages.look = Some(look);
+            return self.read_on();
         }
-        for mut look in scan.wanted {
-            if look.damaged || scan.damaged && look.found.is_none() {
-                self.on_outcome(*look.then, Outcome::NotSent);
-                continue;
+        self.pages.index = whole;
+        self.looked(look.wanted);
+    }
+
+    pub(crate) fn on_page_changes(&mut self, outcome: Outcome) {
+        let Some(mut look) = self.pages.look.take() else { return };
+        match outcome {
+            Outcome::Answer(r) if r.status == 200 => match from_cbor::<ChangeLog>(&r.body) {
+                Ok(changes) => {
+                    self.pages.index.follow(&changes);
+                    self.looked(look.wanted);
+                }
+                Err(_) => self.look_failed(look),
+            },
+            // It doesn't keep changes for that long: all pages are read.
+            Outcome::Answer(r) if r.status == 410 => {
+                look.whole = Some(Index::default());
+                self.pages.look = Some(look);
+                self.read_on();
+            }
+            _ => self.look_failed(look),
+        }
+    }
+
+    fn look_failed(&mut self, look: Look) {
+        look.wanted.into_iter().for_each(|l| self.on_outcome(*l.then, Outcome::NotSent));
+        self.look_through();
+    }
+
+    /// The pages are known as they stood after the questions came.
+    fn looked(&mut self, wanted: Vec<LookUp>) {
+        self.state_answered();
+        self.pages.index.at_ms = self.pages.looked_ms;
+        for mut look in wanted {
+            match self.pages.index.find(&look.job) {
+                Found::Damaged => {
+                    self.on_outcome(*look.then, Outcome::NotSent);
+                    continue;
+                }
+                Found::Record(record) => look.found = Some(record),
+                Found::Absent => {}
             }
+            look.last = self.pages.index.last();
             // It may have got a record of its own while we looked.
-            look.last = scan.last;
-            let target = format!("/keys/{}", job_key(&look.job));
-            self.member.reads.force(self.now.steady_ms, 1.0);
-            self.state_call("GET", target, Vec::new(), Pending::LookLast(look));
+            self.look_again(look);
         }
-        self.scan_pages();
+        self.look_through();
+    }
+
+    fn look_again(&mut self, look: LookUp) {
+        let target = format!("/keys/{}", job_key(&look.job));
+        self.member.reads.force(self.now.steady_ms, 1.0);
+        self.state_call("GET", target, Vec::new(), Pending::LookLast(look));
     }
 
     /// A job in a page reads like a record that has no stamp yet: whoever writes one writes
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -240,7 +240,7 @@
         txn.guards.push(Guard { path: VIEW.into(), stamp: self.member.view_stamp });
         let mut items = Vec::new();
         let mut bytes = 0;
-        self.gather_ends(&mut txn, &mut items, room, &mut bytes);
+        self.gather_ends(false, &mut txn, &mut items, room, &mut bytes);
         let mut dirty: Vec<(Urgency, JobIx, u32)> =
             self.store.dirty.iter().map(|(ix, c)| (self.urgency(*ix, *c), *ix, *c)).collect();
         dirty.sort();
@@ -314,6 +314,9 @@
             items.push(FlushItem::Chunk { job: ix, chunk, placed });
         }
         self.weigh_supply(left_behind);
+        // Guests' ends use what is spare, as their deals do.
+        let spare = self.store.writes.room(now, Urgency::Guest.reserve()) as usize;
+        self.gather_ends(true, &mut txn, &mut items, room.min(spare), &mut bytes);
         let inbox: Vec<String> = self.store.inbox.iter().cloned().collect();
         for path in inbox {
             let enough = self.store.singly > 0 && !items.is_empty();
@@ -371,17 +374,23 @@
         }
     }
 
-    /// Ends of jobs whose tasks are all done, and of aborted ones that are gone.
+    /// Ends of jobs whose tasks are all done, and of aborted ones that are gone: of guests or
+    /// of all others.
     fn gather_ends(
         &mut self,
+        guests: bool,
         txn: &mut Transaction,
         items: &mut Vec<FlushItem>,
         room: usize,
         bytes: &mut usize,
     ) {
         let now = self.now.steady_ms;
+        if txn.apply.len() >= room {
+            return;
+        }
+        let of = |ix: &JobIx| self.jobs.get(*ix).is_some_and(|j| self.guest(j)) == guests;
+        let mut candidates: Vec<JobIx> = self.store.jobs.iter().copied().filter(of).collect();
         // What others wait for comes first, ends that follow from others' last.
-        let mut candidates: Vec<JobIx> = self.store.jobs.iter().copied().collect();
         candidates.sort_by_cached_key(|ix| match self.jobs.get(*ix) {
             Some(j) if j.state == JobState::Aborted => 2,
             Some(j) if self.chains.needed(&j.id) => 0,
--- a/crates/core/tests/stories/pages.rs
+++ b/crates/core/tests/stories/pages.rs
@@ -4,7 +4,7 @@
 use crate::world::{job, Cut, End, World, CANCEL_MS};
 use ciborium::value::Value;
 use quartzgate_core::records::{PageRecord, PAGES};
-use quartzgate_wire::msg::{JobStatus, Shape};
+use quartzgate_wire::msg::{JobStatus, Rank, Shape};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -168,6 +168,81 @@
     w.keep_rules();
 }
 
+/// Guards looks that follow what has changed instead of reading all pages again: pages made,
+/// rewritten and taken away since the look before; each is told as it stands, and what nobody
+/// submitted is unknown. The leader needs no look for that.
+#[test]
+fn a_look_costs_what_has_changed() {
+    let mut w = world(20, 650);
+    let leader = w.leader().unwrap();
+    let other = (leader + 1) % 3;
+    w.run_ms = (0..200).map(|n| (name(n), if n % 3 == 0 { 2_500 } else { 120_000 })).collect();
+    together(&mut w, leader, 0..30, 1);
+    w.run(600);
+    for n in 0..3 {
+        w.cut(End::Node(other), End::Node(n), Cut::Drop);
+    }
+    w.run(3_000);
+    for round in 1..6u32 {
+        let all = round * 30;
+        let some = (0..all).rev().step_by(2 * round as usize);
+        let asks: Vec<usize> = some.map(|n| w.poll(other, &name(n))).collect();
+        let nobody = w.poll(other, "wk-777777");
+        w.run(900);
+        let told: Vec<u16> = asks.iter().map(|a| w.status(*a)).collect();
+        assert!(told.iter().all(|s| *s == 200), "round {round}: {told:?}");
+        assert_eq!(w.status(nobody), 404);
+        together(&mut w, leader, all..all + 30, 1);
+        w.run(500);
+    }
+    let reads = w.state.page_reads;
+    assert!((1..=2).contains(&reads), "all pages were read {reads} times");
+    // The leader knows all pages.
+    let nobody = w.poll(leader, "wk-777778");
+    w.run(300);
+    assert_eq!((w.status(nobody), w.state.page_reads), (404, reads));
+    w.heal();
+    w.keep_rules();
+}
+
+/// Guards what everybody else notices of a flood of guests: with more ends of theirs to record
+/// than there are changes for, the next job of another priority is accepted, run and told done
+/// as soon as ever; and the guests' ends are all recorded in the end.
+#[test]
+fn guests_ends_wait_for_all_others() {
+    let mut w = world(30, 655);
+    w.state.limits = Some((usize::MAX, 12, 10.0));
+    w.next = Some(serde_json::json!({"write_rps": 10.0}));
+    (0..3).for_each(|n| {
+        w.kill(n);
+        w.start(n)
+    });
+    w.run(4_000);
+    let leader = w.leader().unwrap();
+    w.run_ms = (0..250).map(|n| (name(n), 500)).collect();
+    for tenth in 0..25 {
+        for n in tenth * 10..(tenth + 1) * 10 {
+            let mut spec = job(&name(n), Shape::Array, 1);
+            spec.rank = Rank::Low;
+            w.submit(leader, &spec);
+        }
+        w.run(100);
+    }
+    w.run(2_000);
+    let waits = paged(&w).len();
+    assert!(waits > 100, "{waits} ends wait");
+    w.run_ms.insert("wk-900000".into(), 1_000);
+    w.submit_surely(&job("wk-900000", Shape::Array, 1));
+    w.until_done("wk-900000", 5_000);
+    assert!(paged(&w).len() > waits / 2, "most guests' ends still wait");
+    for n in 0..250 {
+        if w.told.contains_key(&name(n)) {
+            w.until_done(&name(n), 120_000);
+        }
+    }
+    w.keep_rules();
+}
+
 /// Guards acceptances that meet: the same job is submitted to the leader, for a page, and
 /// past it, at any distance in time. It is accepted once.
 #[test]
--- a/crates/core/tests/stories/world.rs
+++ b/crates/core/tests/stories/world.rs
@@ -99,6 +99,8 @@
     pub no_inbox: bool,
     pub writes: u64,
     pub requests: u64,
+    /// Times that all pages were read, by whomever.
+    pub page_reads: u64,
     /// Largest value (bytes of JSON), most changes a transaction, changes a second.
     pub limits: Option<(usize, usize, f64)>,
     /// Writes that were refused for their size, and for their rate.
@@ -968,6 +970,7 @@
         let response = if path == "/keys" {
             let starts = arg("starts").unwrap();
             let since = arg("since").unwrap_or_default();
+            self.state.page_reads += u64::from(starts == PAGES && since.is_empty());
             let most = self.state.page.unwrap_or(usize::MAX);
             let found = |k: &String| k.starts_with(&starts) && *k > since;
             let more = self.state.keys.keys().filter(|k| found(k)).count() > most;
--- a/crates/quartzgate/src/daemon.rs
+++ b/crates/quartzgate/src/daemon.rs
@@ -48,6 +48,8 @@
 /// Shares of the socket limit: users and workers may hold so much, calls the rest.
 const INBOUND_SHARE: f64 = 0.6;
 const OUTBOUND_SHARE: f64 = 0.35;
+/// Part of the calls' sockets that calls to one sibling may hold.
+const SIBLING_SHARE: f64 = 0.125;
 
 struct Waiting {
     call: Call,
@@ -520,7 +522,8 @@
             Peer::State => 16,
             Peer::Cloud => 4,
             Peer::Worker(_) => 2,
-            Peer::Sibling(_) => 16,
+            // Users' requests that are passed on hold one each until they are answered.
+            Peer::Sibling(_) => ((self.outbound_most as f64 * SIBLING_SHARE) as usize).max(16),
         }
     }
 
