One that ends whenever it has taken the lead lets go; stories of fast restarts

Need: a process that ends may be back within a fraction of a second. A controller that finds its earlier life's key at the view leads at once. One that ends as soon as it leads, for lack of memory for the records say, then kept all others from the lead for ever: the key was set anew before it ran out.

The key counts how often in a row its node took it from itself; after two it is deleted instead, guarded by its stamp, and the others elect. Stories: ends of one, two, all three, once to ten times within a lease, with calls, orders and writes of the earlier life under way, an outage, a keeper's claim; crash loops.

--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -14,6 +14,10 @@
 use crate::records::{decode, encode, member_key, Leader, View, INBOX, KEEPERS, LEADER, VIEW};
 use crate::{Outcome, Peer};
 
+/// Times in a row that a controller that is back takes the lead from its earlier life: after
+/// that it lets go.
+const RETAKES: u32 = 2;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Role {
     Follower,
@@ -521,7 +525,7 @@
                 .count() as u64;
             let step = self.cfg.member_ttl_ms() / 50;
             let wait = turn * step + self.rng.random_range(0..step.max(1));
-            self.member.elect_due_ms = now + wait;
+            self.member.elect_due_ms = self.member.elect_due_ms.max(now + wait);
         }
         self.member.leader = leader;
     }
@@ -604,14 +608,20 @@
             return;
         }
         let node = self.cfg.platform.node.clone();
-        let (stamp, epoch) = match (&self.member.leader, self.member.role) {
+        let (stamp, epoch, retakes) = match (&self.member.leader, self.member.role) {
             (_, Role::Electing { .. }) => return,
-            // Our own key of an earlier life needs no waiting for.
-            (Some((l, stamp)), Role::Follower) if l.node == node => (*stamp, None),
+            // Our own key of an earlier life needs no waiting for; but whoever ends as soon as
+            // it leads, again and again, would keep all others from it.
+            (Some((l, stamp)), Role::Follower) if l.node == node => {
+                if l.retakes >= RETAKES {
+                    return self.let_go(*stamp);
+                }
+                (*stamp, None, l.retakes + 1)
+            }
             (Some(_), _) => return,
-            (None, Role::Follower) if now >= self.member.elect_due_ms => (0, None),
+            (None, Role::Follower) if now >= self.member.elect_due_ms => (0, None, 0),
             // The key went with a lease, but nobody has led since: the epoch goes on.
-            (None, Role::Leading | Role::Restoring) => (0, Some(self.member.epoch)),
+            (None, Role::Leading | Role::Restoring) => (0, Some(self.member.epoch), 0),
             (None, _) => return,
         };
         let (view_epoch, view_stamp) =
@@ -621,7 +631,7 @@
             return;
         }
         let epoch = epoch.unwrap_or(view_epoch + 1);
-        let key = Leader { epoch, node: node.clone() };
+        let key = Leader { epoch, node: node.clone(), retakes };
         let mut apply =
             vec![Change::Set { set: LEADER.into(), value: encode(&key), permit: Some(permit) }];
         if !again {
@@ -646,6 +656,23 @@
         self.state_call("POST", "/multi".into(), body, Pending::Elect { epoch });
     }
 
+    /// Takes the key of an earlier life away, so that another may lead; only when nobody has
+    /// for a while do we ask again.
+    fn let_go(&mut self, stamp: u64) {
+        let now = self.now.steady_ms;
+        tracing::info!("ended several times while leading: another may lead");
+        self.member.leader = None;
+        self.member.elect_due_ms = now + self.cfg.member_ttl_ms() / 2;
+        self.member.control = WatchState::Unread;
+        self.member.control_due_ms = now + self.cfg.renew_every_ms() / 2;
+        self.store.writes.force(now, 1.0);
+        let body = to_cbor(&Transaction {
+            guards: vec![Guard { path: LEADER.into(), stamp }],
+            apply: vec![Change::Delete { delete: LEADER.into() }],
+        });
+        self.state_call("POST", "/multi".into(), body, Pending::MemberKey);
+    }
+
     pub(crate) fn on_elect(&mut self, epoch: u64, outcome: Outcome) {
         if self.member.role != (Role::Electing { epoch }) {
             return;
@@ -661,7 +688,8 @@
                 self.member.contact_ms = self.member.asked_ms;
                 self.epoch_began_ms = self.now.steady_ms;
                 let node = self.cfg.platform.node.clone();
-                self.member.leader = Some((Leader { epoch, node: node.clone() }, done.ledger_rev));
+                let key = Leader { epoch, node: node.clone(), retakes: 0 };
+                self.member.leader = Some((key, done.ledger_rev));
                 let view = View { epoch, leader: node.clone(), members: vec![node] };
                 self.member.view = Some((view, done.ledger_rev));
                 self.role_to(Role::Restoring);
@@ -747,7 +775,7 @@
             self.superseded();
         }
         if m.epoch > self.member.hint.as_ref().map_or(0, |h| h.epoch) {
-            self.member.hint = Some(Leader { epoch: m.epoch, node: m.from.clone() });
+            self.member.hint = Some(Leader { epoch: m.epoch, node: m.from.clone(), retakes: 0 });
         }
         true
     }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -101,6 +101,13 @@
 pub struct Leader {
     pub epoch: u64,
     pub node: String,
+    /// Times in a row that the node took the lead from an earlier life of its own.
+    #[serde(default, skip_serializing_if = "no_retakes")]
+    pub retakes: u32,
+}
+
+fn no_retakes(n: &u32) -> bool {
+    *n == 0
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/core/tests/stories/main.rs
+++ b/crates/core/tests/stories/main.rs
@@ -4,6 +4,7 @@
 mod chains;
 mod inline;
 mod pages;
+mod restarts;
 mod rolls;
 mod upgrade;
 mod world;
