A submission past the leader needs no read of its own; retakes wait for the format

A full test run found that the count of retakes was written before format 2.

What a page may hold is looked for by one read that all share; that there is no record is a condition of the write. Questions leave three tenths of a second's reads to submissions and cancellations. Only jobs of which eight fit a page share one, so that a new deal of a larger one does not write all its neighbours again. The key counts retakes from format 2 on.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -370,7 +370,7 @@
             // It may stand in a page: it is looked for first.
             let job = spec.id.clone();
             let pending = Pending::AloneRead { request: id, spec: Box::new(spec), cancelled };
-            return self.read_job(id, &job, pending);
+            return self.look_in_pages(&job, pending);
         }
         let now = self.now.steady_ms;
         if self.submitted_before(id, &spec) {
@@ -485,7 +485,11 @@
     }
 
     pub(crate) fn read_job(&mut self, id: RequestId, job: &str, pending: Pending) {
-        if !self.may_read() {
+        let may = match pending {
+            Pending::Poll { .. } => self.may_read_to_tell(),
+            _ => self.may_read(),
+        };
+        if !may {
             return self.answer_busy(id);
         }
         self.look_up(job, pending);
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -540,6 +540,13 @@
         self.member.reads.take(now, 1.0, 0.1)
     }
 
+    /// The same for a question, which can be asked again: it leaves some for what is submitted
+    /// or cancelled.
+    pub(crate) fn may_read_to_tell(&mut self) -> bool {
+        let now = self.now.steady_ms;
+        self.member.reads.take(now, 1.0, 0.3)
+    }
+
     /// The state service asked for a pause.
     pub(crate) fn state_busy(&mut self, status: u16) {
         use rand::Rng;
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -1,5 +1,6 @@
 //! Membership, leadership, and what the controllers tell one another.
 
+use quartzgate_ladder::Feature;
 use quartzgate_wire::http::Response;
 use quartzgate_wire::msg::{
     Change, ChangeLog, Guard, LeaseAnswer, LeaseRequest, MeshMessage, PairList, Transaction,
@@ -613,10 +614,14 @@
             // Our own key of an earlier life needs no waiting for; but whoever ends as soon as
             // it leads, again and again, would keep all others from it.
             (Some((l, stamp)), Role::Follower) if l.node == node => {
+                // Whether it may be counted depends on the format.
+                if !self.knows_format() {
+                    return;
+                }
                 if l.retakes >= RETAKES {
                     return self.let_go(*stamp);
                 }
-                (*stamp, None, l.retakes + 1)
+                (*stamp, None, if self.has(Feature::Pieces) { l.retakes + 1 } else { 0 })
             }
             (Some(_), _) => return,
             (None, Role::Follower) if now >= self.member.elect_due_ms => (0, None, 0),
--- a/crates/core/src/pages/mod.rs
+++ b/crates/core/src/pages/mod.rs
@@ -69,6 +69,8 @@
     found: Option<Box<JobRecord>>,
     /// The last page that was there.
     last: u64,
+    /// What follows is guarded by there being no record: none is read.
+    guarded: bool,
     then: Box<Pending>,
 }
 
@@ -107,6 +109,9 @@
 const READ_AT_ONCE: u32 = 60;
 /// Guests' jobs in pages at a time: their ends take a change each, for so many seconds.
 const ENDS_S: f64 = 120.0;
+/// Jobs of which so many fit a page share one: each new deal of a larger job would be a new
+/// write of all its neighbours.
+const SMALL: usize = 8;
 /// What a task of a page may come to take once it is dealt: two names and their places.
 const TASK_BYTES: usize = 44;
 const SHARE_BYTES: usize = 190;
@@ -186,7 +191,7 @@
             return false;
         }
         let now = self.now.steady_ms;
-        let small = self.full_size(spec) * 3 <= self.value_most();
+        let small = self.full_size(spec) * SMALL <= self.value_most();
         let rate = self.store.writes.rate();
         let below = self.cfg.operator.share_pages_below;
         let crowded = self.admission.short()
@@ -642,10 +647,25 @@
             return self.state_call("GET", target, Vec::new(), then);
         }
         let (job, then) = (job.to_string(), Box::new(then));
-        let look = LookUp { job, found: None, last: 0, then };
+        let look = LookUp { job, found: None, last: 0, guarded: false, then };
         self.state_call("GET", target, Vec::new(), Pending::LookFirst(look));
     }
 
+    /// Looks whether a page holds a job that is to be recorded past the leader: that there is
+    /// no record of it is a condition of the write.
+    pub(crate) fn look_in_pages(&mut self, job: &str, then: Pending) {
+        let (job, then) = (job.to_string(), Box::new(then));
+        self.ask_for(LookUp { job, found: None, last: 0, guarded: true, then });
+    }
+
+    fn ask_for(&mut self, look: LookUp) {
+        if self.pages.queue.len() >= LOOKS_MOST {
+            return self.on_outcome(*look.then, Outcome::NotSent);
+        }
+        self.pages.queue.push(look);
+        self.look_through();
+    }
+
     pub(crate) fn on_look_first(&mut self, look: LookUp, outcome: Outcome) {
         let absent = matches!(&outcome, Outcome::Answer(r) if r.status == 404);
         if !absent {
@@ -662,11 +682,7 @@
         if self.leads() && self.pages.all_known() {
             return self.ask_whether_absent(look);
         }
-        if self.pages.queue.len() >= LOOKS_MOST {
-            return self.on_outcome(*look.then, Outcome::NotSent);
-        }
-        self.pages.queue.push(look);
-        self.look_through();
+        self.ask_for(look);
     }
 
     /// No page of ours holds the job: that goes for all pages as long as we lead.
@@ -708,7 +724,8 @@
         }
     }
 
-    /// Looks through the pages for all who wait, once a batch's time at most.
+    /// Looks through the pages for all who wait: reading them all once a batch's time at most,
+    /// what has changed ten times as often.
     pub(crate) fn look_through(&mut self) {
         let now = self.now.steady_ms;
         if self.pages.look.is_some() {
@@ -717,13 +734,14 @@
         if now > self.pages.index.at_ms + self.cfg.lease_ms() {
             self.pages.index = Index::default();
         }
-        let soon = self.pages.looked_ms > 0 && now < self.pages.looked_ms + self.cfg.batch_ms();
+        let known = self.pages.index.rev(now, self.cfg.report_ms());
+        let pause = if known.is_some() { self.cfg.batch_ms() / 10 } else { self.cfg.batch_ms() };
+        let soon = self.pages.looked_ms > 0 && now < self.pages.looked_ms + pause;
         if soon || self.pages.queue.is_empty() {
             return;
         }
         self.pages.looked_ms = now;
         let wanted = std::mem::take(&mut self.pages.queue);
-        let known = self.pages.index.rev(now, self.cfg.report_ms());
         let whole = known.is_none().then(Index::default);
         self.pages.look = Some(Look { wanted, whole, since: None });
         match known {
@@ -807,6 +825,12 @@
                     continue;
                 }
                 Found::Record(record) => look.found = Some(record),
+                Found::Absent if look.guarded => {
+                    self.pages.looked_last = self.pages.index.last();
+                    let absent = Outcome::Answer(Response::new(404, Vec::new()));
+                    self.on_outcome(*look.then, absent);
+                    continue;
+                }
                 Found::Absent => {}
             }
             look.last = self.pages.index.last();
