qg-scale: a takeover with jobs on record that ended long ago

Need: how long a new leader reads at 100,000 recorded ends, and whether a crash within that time could lead to the next. The tool could only take over from the jobs of its own run.

--ended puts so many ends on record; a takeover tells its processor time as well.

--- a/crates/scale/src/load.rs
+++ b/crates/scale/src/load.rs
@@ -9,6 +9,7 @@
 use ciborium::value::Value;
 use hdrhistogram::Histogram;
 use quartzgate_core::config::{Config, Operator};
+use quartzgate_core::records::{encode, JobRecord, RecordedStatus};
 use quartzgate_core::{Action, Call, CallId, Controller, Event, Now, Outcome, Peer, RequestId};
 use quartzgate_wire::http::{Request, Response};
 use quartzgate_wire::msg::*;
@@ -51,6 +52,9 @@
     /// Second at which the leader ends and another takes over from the records.
     #[arg(long)]
     pub takeover: Option<u64>,
+    /// Jobs that ended long before the takeover, and stand on record for ever.
+    #[arg(long, default_value_t = 0)]
+    pub ended: u64,
 }
 
 const KINDS: [&str; 7] = ["tick", "report", "user", "orders", "state", "cloud", "other"];
@@ -92,6 +96,8 @@
     /// Of a takeover: records read, and how long until a task was started again.
     pub records: usize,
     pub first_start_ms: Option<u64>,
+    /// Processor time from the takeover to that start, in milliseconds of a whole core.
+    pub takeover_cpu_ms: f64,
     pub kinds: Vec<KindCost>,
 }
 
@@ -114,6 +120,10 @@
         }
         self.seconds[second] += us;
     }
+
+    fn spent_us(&self) -> u64 {
+        self.kinds.iter().map(|k| k.1).sum()
+    }
 }
 
 struct Held {
@@ -165,6 +175,9 @@
     records: usize,
     took_over_ms: Option<u64>,
     first_start_ms: Option<u64>,
+    /// Processor time before the takeover, and from it to the first start, in microseconds.
+    spent_before_us: u64,
+    takeover_us: u64,
 }
 
 fn platform(load: &Load) -> Platform {
@@ -212,6 +225,8 @@
             counts: [0; 5],
             records: 0,
             took_over_ms: None,
+            spent_before_us: 0,
+            takeover_us: 0,
             first_start_ms: None,
             load,
         };
@@ -361,7 +376,19 @@
     fn take_over(&mut self) {
         let config = Config::new(platform(&self.load), Operator::default());
         self.core = Controller::new(config, SmallRng::seed_from_u64(self.load.seed + 2));
+        let record = JobRecord {
+            status: RecordedStatus::Done,
+            spec: None,
+            at_ms: 1_000_000,
+            done_chunks: Vec::new(),
+            service: false,
+            share: None,
+        };
+        for n in 0..self.load.ended {
+            self.keys.insert(format!("jobs/wk-9{n:08}"), (encode(&record), 1));
+        }
         (self.records, self.took_over_ms) = (self.keys.len(), Some(self.now));
+        self.spent_before_us = self.meter.spent_us();
         let calls = |next: &Next| matches!(next, Next::Outcome(..));
         self.what.retain(|_, next| !calls(next));
         for (_, w) in std::mem::take(&mut self.asked) {
@@ -475,7 +502,10 @@
                     self.starts.saturating_record(self.now - first_ms);
                     self.counts[4] += 1;
                     let since = self.took_over_ms.map(|at| self.now - at);
-                    self.first_start_ms = self.first_start_ms.or(since);
+                    if since.is_some() && self.first_start_ms.is_none() {
+                        self.first_start_ms = since;
+                        self.takeover_us = self.meter.spent_us() - self.spent_before_us;
+                    }
                     let has = self.workers[w].images.contains(&spec.image);
                     let fetch = if has { 5 } else { (spec.image_gb * 1000.0) as u64 };
                     if !has {
@@ -674,6 +704,7 @@
             start_p99_ms: self.starts.value_at_quantile(0.99),
             records: self.records,
             first_start_ms: self.first_start_ms,
+            takeover_cpu_ms: self.takeover_us as f64 / 1e3,
             kinds: kinds
                 .map(|(kind, (h, us))| KindCost {
                     kind,
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -80,7 +80,10 @@
         costs.start_p99_ms,
     );
     if let Some(ms) = costs.first_start_ms {
-        println!("taken over from {} records; a task was started after {ms} ms", costs.records);
+        println!(
+            "taken over from {} records; a task was started after {ms} ms and {:.0} ms of processor",
+            costs.records, costs.takeover_cpu_ms
+        );
     }
     let mut table = Table::new();
     table.set_header(["event", "times", "mean µs", "p99 µs", "longest µs", "share of a core"]);
