Each class's ends and deals are recorded in turn; half of the changes are for deals

Ruled out: the flood's ends after all others' (it is nobody's guest, and would starve); turns counted anew at each look (with one change at a time the oldest of the largest class won each: a story failed).

Ends go by priority, and of one priority each team's classes in turn, remembered between looks; deals likewise. While both wait, each gets half of the changes. Ends that are left for lack of changes count as their shortage, so that acceptances are held back.

--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -1,7 +1,7 @@
 //! Writes to the state service: gathered, budgeted, and all guarded, so that one
 //! that is applied late can do no harm.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use quartzgate_ladder::Feature;
 use quartzgate_wire::msg::{Change, Guard, Pair, Rank, Shape, Transaction, TransactionAnswer};
@@ -12,7 +12,7 @@
 use crate::controller::{Controller, Pending};
 use crate::deal::OPEN_CHUNKS;
 use crate::ids::{JobIx, TaskKey};
-use crate::jobs::{Chunk, JobState, TaskState};
+use crate::jobs::{Chunk, Job, JobState, TaskState};
 use crate::records::{
     decode, encode, job_key, piece_keys, read_share, share_key, GatheredShare, JobRecord,
     RecordedStatus, VIEW,
@@ -66,6 +66,55 @@
     }
 }
 
+/// Whose record is written next: each team's classes in turn, so that one of which many wait
+/// keeps no other waiting, however little is written at a time.
+#[derive(Default)]
+struct Turns {
+    /// The turn that is being served.
+    at: u64,
+    /// The last turn of each class of a team.
+    last: HashMap<usize, HashMap<String, u64>>,
+}
+
+/// Classes whose turns are remembered; one that is forgotten is served now.
+const CLASSES_MOST: usize = 1_000;
+
+impl Turns {
+    /// The turn before the next of a job's class.
+    fn before(&self, job: &Job) -> u64 {
+        let last = self.last.get(&job.team).and_then(|of| of.get(&job.spec.class));
+        last.map_or(self.at, |t| self.at.max(*t))
+    }
+
+    fn served(&mut self, job: &Job) {
+        self.at = self.before(job);
+        let of = self.last.entry(job.team).or_default();
+        if of.len() >= CLASSES_MOST {
+            of.clear();
+        }
+        of.insert(job.spec.class.clone(), self.at + 1);
+    }
+
+    fn ahead(&self) -> Ahead<'_> {
+        Ahead { turns: self, waiting: HashMap::new() }
+    }
+}
+
+/// The turns of those that wait, told one after another.
+struct Ahead<'a> {
+    turns: &'a Turns,
+    waiting: HashMap<(usize, &'a str), u64>,
+}
+
+impl<'a> Ahead<'a> {
+    fn next(&mut self, job: Option<&'a Job>) -> u64 {
+        let Some(job) = job else { return 0 };
+        let n = self.waiting.entry((job.team, &job.spec.class)).or_default();
+        *n += 1;
+        self.turns.before(job) + *n
+    }
+}
+
 /// What changes at the state service are for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Purpose {
@@ -110,6 +159,12 @@
     looked_ms: u64,
     /// An end that other jobs wait for is to be written.
     urgent: bool,
+    /// Ends were left for lack of changes at the last look.
+    ends_left: bool,
+    /// Whose turn an odd change is: the ends' or the deals'.
+    odd: bool,
+    ends: Turns,
+    deals: Turns,
     /// A write was refused as malformed or too large: so many go out by themselves, until
     /// it is known which it was.
     singly: usize,
@@ -159,6 +214,10 @@
             since_ms: None,
             looked_ms: 0,
             urgent: false,
+            ends_left: false,
+            odd: false,
+            ends: Turns::default(),
+            deals: Turns::default(),
             singly: 0,
         }
     }
@@ -176,6 +235,12 @@
         self.spent.get(&purpose).copied().unwrap_or(0)
     }
 
+    /// 1 every other time.
+    fn odd(&mut self) -> usize {
+        self.odd = !self.odd;
+        usize::from(self.odd)
+    }
+
     /// Records that memory is ahead of.
     pub fn behind(&self) -> usize {
         self.dirty.len()
@@ -233,19 +298,27 @@
         let most = self.limits().txn_ops;
         let room = (self.store.writes.room(now, 0.4) as usize).min(most);
         if room == 0 {
-            let left = self.store.dirty.iter().any(|k| self.starved(*k));
+            let left = self.store.ends_left || self.store.dirty.iter().any(|k| self.starved(*k));
             return self.weigh_supply(left);
         }
         let mut txn = Transaction::default();
         txn.guards.push(Guard { path: VIEW.into(), stamp: self.member.view_stamp });
         let mut items = Vec::new();
         let mut bytes = 0;
-        self.gather_ends(false, &mut txn, &mut items, room, &mut bytes);
-        let mut dirty: Vec<(Urgency, JobIx, u32)> =
-            self.store.dirty.iter().map(|(ix, c)| (self.urgency(*ix, *c), *ix, *c)).collect();
+        // Ends and deals that wait for one another's changes get half of them each.
+        let pressing = self.store.dirty.iter().any(|k| self.starved(*k));
+        let first = if pressing { room / 2 + room % 2 * self.store.odd() } else { room };
+        let mut ends_left = self.gather_ends(false, &mut txn, &mut items, first, &mut bytes);
+        let mut ahead = self.store.deals.ahead();
+        let mut dirty: Vec<(Urgency, u64, JobIx, u32)> = self
+            .store
+            .dirty
+            .iter()
+            .map(|(ix, c)| (self.urgency(*ix, *c), ahead.next(self.jobs.get(*ix)), *ix, *c))
+            .collect();
         dirty.sort();
         let mut left_behind = false;
-        for (urgency, ix, chunk) in dirty {
+        for (urgency, _, ix, chunk) in dirty {
             let left = self.store.writes.room(now, urgency.reserve()) as usize;
             let enough = self.store.singly > 0 && !items.is_empty();
             if enough || txn.apply.len() >= room.min(left) || bytes > TXN_BYTES {
@@ -285,10 +358,12 @@
                     self.store.dirty.remove(&(ix, chunk));
                     continue;
                 }
+                self.store.deals.served(job);
                 self.rewrite_page(page);
                 continue;
             }
             let id = job.id.clone();
+            self.store.deals.served(job);
             let Some(share) = self.share_write(ix, chunk) else { continue };
             if share.oversize || share.changes() > most {
                 tracing::error!(job = %id, chunk, bytes = share.bytes, pieces = share.placed.pieces,
@@ -313,7 +388,11 @@
             self.store.settled(ix, chunk);
             items.push(FlushItem::Chunk { job: ix, chunk, placed });
         }
-        self.weigh_supply(left_behind);
+        if first < room {
+            ends_left = self.gather_ends(false, &mut txn, &mut items, room, &mut bytes);
+        }
+        self.store.ends_left = ends_left && room < most;
+        self.weigh_supply(left_behind || self.store.ends_left);
         // Guests' ends use what is spare, as their deals do.
         let spare = self.store.writes.room(now, Urgency::Guest.reserve()) as usize;
         self.gather_ends(true, &mut txn, &mut items, room.min(spare), &mut bytes);
@@ -375,7 +454,7 @@
     }
 
     /// Ends of jobs whose tasks are all done, and of aborted ones that are gone: of guests or
-    /// of all others.
+    /// of all others. Says whether any is left for lack of room.
     fn gather_ends(
         &mut self,
         guests: bool,
@@ -383,22 +462,30 @@
         items: &mut Vec<FlushItem>,
         room: usize,
         bytes: &mut usize,
-    ) {
+    ) -> bool {
         let now = self.now.steady_ms;
+        let of = |ix: &JobIx| self.jobs.get(*ix).is_some_and(|j| self.guest(j)) == guests;
         if txn.apply.len() >= room {
-            return;
+            let ended = |j: &Job| j.state == JobState::Live && j.done >= j.spec.tasks;
+            let mut waiting = self.store.jobs.iter().filter(|ix| of(ix));
+            return waiting.any(|ix| self.jobs.get(*ix).is_some_and(ended));
         }
-        let of = |ix: &JobIx| self.jobs.get(*ix).is_some_and(|j| self.guest(j)) == guests;
         let mut candidates: Vec<JobIx> = self.store.jobs.iter().copied().filter(of).collect();
-        // What others wait for comes first, ends that follow from others' last.
-        candidates.sort_by_cached_key(|ix| match self.jobs.get(*ix) {
-            Some(j) if j.state == JobState::Aborted => 2,
-            Some(j) if self.chains.needed(&j.id) => 0,
-            _ => 1,
+        // What others wait for comes first, ends that follow from others' last; between them
+        // the more urgent, and of those each class in turn.
+        let mut ahead = self.store.ends.ahead();
+        candidates.sort_by_cached_key(|ix| {
+            let job = self.jobs.get(*ix);
+            let part = match job {
+                Some(j) if j.state == JobState::Aborted => 2,
+                Some(j) if self.chains.needed(&j.id) => 0,
+                _ => 1,
+            };
+            (part, std::cmp::Reverse(job.map(|j| j.rank)), ahead.next(job))
         });
         for ix in candidates {
             if self.store.singly > 0 && !items.is_empty() {
-                return;
+                return false;
             }
             let Some(job) = self.jobs.get(ix) else {
                 self.store.jobs.remove(&ix);
@@ -430,7 +517,7 @@
             // go later, in writes of their own.
             let calm = self.store.writes.room(now, UNHURRIED) >= 2.0;
             if space < 1 + usize::from(calm) && !txn.apply.is_empty() {
-                return;
+                return status == RecordedStatus::Done;
             }
             let stand = job.chunks.iter().filter(|(_, c)| c.stamp > 0);
             let left = if calm { space.max(2) - 1 } else { 0 };
@@ -447,6 +534,7 @@
             txn.guards.push(Guard { path: key.clone(), stamp: job.stamp });
             txn.apply.push(Change::Set { set: key, value: encode(&record), permit: None });
             let before = txn.apply.len();
+            self.store.ends.served(job);
             self.gather_shares(ix, &chunks, txn);
             self.store.note(Purpose::End, 1);
             self.store.note(Purpose::Tidy, txn.apply.len() - before);
@@ -460,6 +548,7 @@
             }
             items.push(FlushItem::End { job: ix, chunks });
         }
+        false
     }
 
     /// What can't be written now is not tried again for a while, so that it stands in the
--- a/crates/scale/src/days.rs
+++ b/crates/scale/src/days.rs
@@ -114,15 +114,18 @@
         days
     }
 
-    /// A day on which a team without a guarantee sends so many one-task jobs a second.
-    fn guests(&self, rate: f64) -> Table {
+    /// A day on which somebody sends so many one-task jobs a second: a team without a guarantee,
+    /// without haste, or one of the site's own teams, at normal priority.
+    fn swarm(&self, who: &str, rate: f64, own_team: Option<&str>) -> Table {
         let (from, to) = (self.lasts * BEGINS, self.lasts * (BEGINS + FLOOD));
         let ends = [crash(from + 20.0, 1), crash(from + 60.0, 1)];
-        let mut day = table(&format!("guests-{rate}"), ends);
-        let mut guest = InlineTable::new();
-        guest.insert("name", "guests".into());
-        guest.insert("weight", 1.0.into());
-        day.insert("teams", Item::Value(Array::from_iter([Value::from(guest)]).into()));
+        let mut day = table(&format!("{who}-{rate}"), ends);
+        if own_team.is_none() {
+            let mut guest = InlineTable::new();
+            guest.insert("name", "guests".into());
+            guest.insert("weight", 1.0.into());
+            day.insert("teams", Item::Value(Array::from_iter([Value::from(guest)]).into()));
+        }
         let own = Array::from_iter(self.teams.iter().map(String::as_str));
         let mut jobs = Array::new();
         for class in &self.classes {
@@ -135,6 +138,10 @@
             Ok(Value::InlineTable(t)) => t,
             _ => unreachable!("an inline table"),
         };
+        if let Some(team) = own_team {
+            swarm.insert("priority", "normal".into());
+            swarm.insert("teams", Array::from_iter([team]).into());
+        }
         let mut arrivals = InlineTable::new();
         arrivals.insert("rate", rate.into());
         arrivals.insert("start_s", from.into());
@@ -166,7 +173,10 @@
     let mut days = ArrayOfTables::new();
     let with_faults = site.restarts().into_iter().chain(site.floods());
     with_faults.for_each(|(name, faults)| days.push(table(&name, faults)));
-    GUESTS.iter().for_each(|rate| days.push(site.guests(*rate)));
+    GUESTS.iter().for_each(|rate| days.push(site.swarm("guests", *rate, None)));
+    if let Some(team) = site.teams.last() {
+        days.push(site.swarm("crew", GUESTS[GUESTS.len() - 1], Some(team)));
+    }
     doc.insert("day", Item::ArrayOfTables(days));
     Ok(())
 }
