Turns of teams' classes stand in the package that orders service

Need: what decides whose record is next is no matter of records, and other queues will ask it. Ruled out: a crate of its own for eighty lines. Moved from the core's store, behaviour as it was, with a story of its own: a class of which little waits is served within four turns of its coming, one at a time, against one of which hundreds do.

--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -1,9 +1,10 @@
 //! Writes to the state service: gathered, budgeted, and all guarded, so that one
 //! that is applied late can do no harm.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 use quartzgate_ladder::Feature;
+use quartzgate_overload::Turns;
 use quartzgate_wire::msg::{Change, Guard, Pair, Rank, Shape, Transaction, TransactionAnswer};
 use quartzgate_wire::settings::StateLimits;
 use quartzgate_wire::{from_cbor, to_cbor};
@@ -66,55 +67,6 @@
     }
 }
 
-/// Whose record is written next: each team's classes in turn, so that one of which many wait
-/// keeps no other waiting, however little is written at a time.
-#[derive(Default)]
-struct Turns {
-    /// The turn that is being served.
-    at: u64,
-    /// The last turn of each class of a team.
-    last: HashMap<usize, HashMap<String, u64>>,
-}
-
-/// Classes whose turns are remembered; one that is forgotten is served now.
-const CLASSES_MOST: usize = 1_000;
-
-impl Turns {
-    /// The turn before the next of a job's class.
-    fn before(&self, job: &Job) -> u64 {
-        let last = self.last.get(&job.team).and_then(|of| of.get(&job.spec.class));
-        last.map_or(self.at, |t| self.at.max(*t))
-    }
-
-    fn served(&mut self, job: &Job) {
-        self.at = self.before(job);
-        let of = self.last.entry(job.team).or_default();
-        if of.len() >= CLASSES_MOST {
-            of.clear();
-        }
-        of.insert(job.spec.class.clone(), self.at + 1);
-    }
-
-    fn ahead(&self) -> Ahead<'_> {
-        Ahead { turns: self, waiting: HashMap::new() }
-    }
-}
-
-/// The turns of those that wait, told one after another.
-struct Ahead<'a> {
-    turns: &'a Turns,
-    waiting: HashMap<(usize, &'a str), u64>,
-}
-
-impl<'a> Ahead<'a> {
-    fn next(&mut self, job: Option<&'a Job>) -> u64 {
-        let Some(job) = job else { return 0 };
-        let n = self.waiting.entry((job.team, &job.spec.class)).or_default();
-        *n += 1;
-        self.turns.before(job) + *n
-    }
-}
-
 /// What changes at the state service are for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Purpose {
@@ -314,7 +266,14 @@
             .store
             .dirty
             .iter()
-            .map(|(ix, c)| (self.urgency(*ix, *c), ahead.next(self.jobs.get(*ix)), *ix, *c))
+            .map(|(ix, c)| {
+                (
+                    self.urgency(*ix, *c),
+                    self.jobs.get(*ix).map_or(0, |j| ahead.next(j.team, &j.spec.class)),
+                    *ix,
+                    *c,
+                )
+            })
             .collect();
         dirty.sort();
         let mut left_behind = false;
@@ -358,12 +317,12 @@
                     self.store.dirty.remove(&(ix, chunk));
                     continue;
                 }
-                self.store.deals.served(job);
+                self.store.deals.served(job.team, &job.spec.class);
                 self.rewrite_page(page);
                 continue;
             }
             let id = job.id.clone();
-            self.store.deals.served(job);
+            self.store.deals.served(job.team, &job.spec.class);
             let Some(share) = self.share_write(ix, chunk) else { continue };
             if share.oversize || share.changes() > most {
                 tracing::error!(job = %id, chunk, bytes = share.bytes, pieces = share.placed.pieces,
@@ -481,7 +440,11 @@
                 Some(j) if self.chains.needed(&j.id) => 0,
                 _ => 1,
             };
-            (part, std::cmp::Reverse(job.map(|j| j.rank)), ahead.next(job))
+            (
+                part,
+                std::cmp::Reverse(job.map(|j| j.rank)),
+                job.map(|j| ahead.next(j.team, &j.spec.class)),
+            )
         });
         for ix in candidates {
             if self.store.singly > 0 && !items.is_empty() {
@@ -534,7 +497,7 @@
             txn.guards.push(Guard { path: key.clone(), stamp: job.stamp });
             txn.apply.push(Change::Set { set: key, value: encode(&record), permit: None });
             let before = txn.apply.len();
-            self.store.ends.served(job);
+            self.store.ends.served(job.team, &job.spec.class);
             self.gather_shares(ix, &chunks, txn);
             self.store.note(Purpose::End, 1);
             self.store.note(Purpose::Tidy, txn.apply.len() - before);
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -6,7 +6,9 @@
 mod intake;
 mod load;
 mod turned;
+mod turns;
 
 pub use intake::{Class, Intake, Next};
 pub use load::{Load, LoadState};
 pub use turned::Turned;
+pub use turns::{Ahead, Turns};
--- a/crates/overload/tests/order.rs
+++ b/crates/overload/tests/order.rs
@@ -1,7 +1,7 @@
 //! The order and the bounds of service under any mix of requests, and the states of load.
 
 use proptest::prelude::*;
-use quartzgate_overload::{Class, Intake, Load, LoadState, Next, Turned};
+use quartzgate_overload::{Class, Intake, Load, LoadState, Next, Turned, Turns};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
@@ -174,3 +174,30 @@
     }
     assert!(longest < 4 * ROUND_MS, "a worker had no answer for {longest} ms");
 }
+
+/// Guards a class of which little waits against one of which thousands do, with one served at
+/// a time and the order made anew each time; and against making up for what was not asked for.
+#[test]
+fn each_class_is_served_in_turn() {
+    let mut turns = Turns::default();
+    let mut waiting: Vec<(usize, &str)> = vec![(0, "many"); 500];
+    let mut served = Vec::new();
+    for step in 0..120 {
+        // Now and then one of another class or team comes.
+        if step % 40 == 39 {
+            waiting.extend([(0, "few"), (1, "many")]);
+        }
+        let mut ahead = turns.ahead();
+        let order: Vec<u64> =
+            waiting.iter().map(|(team, class)| ahead.next(*team, class)).collect();
+        let at = (0..waiting.len()).min_by_key(|at| order[*at]).unwrap();
+        let (team, class) = waiting.remove(at);
+        turns.served(team, class);
+        served.push((team, class));
+    }
+    for came in [39, 79] {
+        let soon = &served[came..came + 4];
+        assert!(soon.contains(&(0, "few")) && soon.contains(&(1, "many")), "{soon:?}");
+    }
+    assert!(served.iter().filter(|s| **s == (0, "many")).count() > 110);
+}
