--- a/crates/core/tests/stories/restarts.rs
+++ b/crates/core/tests/stories/restarts.rs
@@ -48,7 +48,7 @@
 #[test]
 fn processes_are_back_before_anybody_noticed() {
     let mut gaps = Vec::new();
-    for case in 0..60u64 {
+    for case in 0..90u64 {
         let mut w = world(12, 9_000 + case);
         w.max_delay = if case % 2 == 0 { 4 } else { 120 };
         w.run_ms = (0..8).map(|n| (name(n), 45_000)).collect();
@@ -56,7 +56,7 @@
         w.until(20_000, "all run", |w| w.starts.len() == 8);
         let leader = w.leader().unwrap();
         let (heir, third) = ((leader + 1) % 3, (leader + 2) % 3);
-        match case / 5 % 4 {
+        match case / 5 % 6 {
             // Writes and orders of the earlier life are held, and come when the next one leads.
             1 => {
                 w.cut(End::Node(leader), End::State, Cut::Hold);
@@ -73,6 +73,29 @@
                 }
                 w.run(2 * REPORT_MS);
             }
+            // Beats and requests that were passed on come from a life that is over.
+            4 => {
+                w.cut(End::Node(leader), End::Node(heir), Cut::Hold);
+                w.cut(End::Node(leader), End::Node(third), Cut::Hold);
+                for n in 8..12 {
+                    w.submit(heir, &job(&name(n), Shape::Array, 2));
+                }
+                w.run(300);
+            }
+            // A sibling keeps half of the workers; orders and reports go by post.
+            5 => {
+                w.cut(End::Node(leader), End::Node(heir), Cut::Drop);
+                let far: Vec<String> = w.workers.keys().step_by(2).cloned().collect();
+                for worker in far {
+                    w.cut(End::Node(leader), End::Worker(worker.clone()), Cut::Drop);
+                    w.cut(End::Node(third), End::Worker(worker), Cut::Drop);
+                }
+                w.run(5 * REPORT_MS);
+                for n in 8..12 {
+                    w.submit(heir, &job(&name(n), Shape::Array, 2));
+                }
+                w.run(400);
+            }
             _ => {}
         }
         let ends = [1, 2, 10][case as usize % 3];
@@ -95,7 +118,7 @@
             w.until_done(&name(n), 120_000);
             let starts = &w.starts[&format!("{}/0", name(n))];
             // Where workers were cut off, or nobody led for seconds, leases may have run out.
-            let cut_off = case / 5 % 4 == 3 || ends > 2;
+            let cut_off = matches!(case / 5 % 6, 3 | 5) || ends > 2;
             assert!(starts.len() == 1 || cut_off, "case {case}: {} ran on", name(n));
         }
         w.keep_rules();
