Machines that speak and don't hear draw no work; late copies of reports say nothing

A machine whose reports arrive seemed alive and empty, and had a start lost on it every report round, each for a lease; a copy of a report moved the time it was heard, the time it was answered, and who passes its reports on, so that one that had ended was presumed empty late. Ruled out: a lonely controller needed no change, its story passes as it is; so do machines that are back in a moment.

--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -184,6 +184,8 @@
     /// Reads of records that failed and are tried again.
     pub(crate) store_retry: Vec<FlushItem>,
     pub(crate) inbox_again: Vec<String>,
+    /// Late copies of reports that were dropped.
+    pub(crate) copies_dropped: u64,
 }
 
 impl Controller {
@@ -245,6 +247,7 @@
             second_at_ms: 0,
             store_retry: Vec::new(),
             inbox_again: Vec::new(),
+            copies_dropped: 0,
         }
     }
 
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -196,7 +196,7 @@
         let now = self.now.steady_ms;
         loop {
             let Some(m) = self.machines.get(ix) else { return };
-            if !m.usable() || m.queue.is_empty() || now < m.no_room_until_ms {
+            if m.queue.is_empty() || !m.takes_work(now) {
                 return;
             }
             let free = self.free_room(m);
@@ -290,9 +290,8 @@
         let need = job.room();
         task.probes.iter().map(|p| p.machine).find(|other| {
             self.machines.get(*other).is_some_and(|m| {
-                m.usable()
+                m.takes_work(self.now.steady_ms)
                     && m.images.contains(&job.image)
-                    && self.now.steady_ms >= m.no_room_until_ms
                     && self.free_room(m).fits(&need)
             })
         })
--- a/crates/core/src/field.rs
+++ b/crates/core/src/field.rs
@@ -280,7 +280,7 @@
     /// Room that a machine has now, and what of it its queue has not spoken for. What is
     /// full stays full, whatever its queue has spoken for.
     fn spare_room(&self, m: &Machine, all: &Room, need: &Room) -> (Room, Room) {
-        if self.now.steady_ms < m.no_room_until_ms {
+        if !m.takes_work(self.now.steady_ms) {
             return (Room::default(), Room::default());
         }
         let free = all.minus(&m.used);
--- a/crates/core/src/gang.rs
+++ b/crates/core/src/gang.rs
@@ -87,8 +87,7 @@
         let zones = self.cfg.platform.params.zones.len() as u16;
         let mut rooms: Vec<(MachineIx, Option<u16>, u32)> = Vec::new();
         for (mix, m) in self.machines.iter() {
-            if !m.usable()
-                || now < m.no_room_until_ms
+            if !m.takes_work(now)
                 || !self.allows(&job.spec, &m.kind, m.zone, m.spot)
                 || job.errors_on.contains(&mix)
             {
@@ -148,6 +147,7 @@
         if !self.commands_workers() {
             return true;
         }
+        let now = self.now.steady_ms;
         let Some(job) = self.jobs.get(ix) else { return true };
         if job.chunks.is_empty() || job.done >= job.spec.tasks {
             return job.done > 0;
@@ -167,7 +167,7 @@
             places.push((key, p.machine));
         }
         let fits = wanted.iter().all(|(m, room)| {
-            self.machines.get(*m).is_some_and(|m| m.usable() && self.free_room(m).fits(room))
+            self.machines.get(*m).is_some_and(|m| m.takes_work(now) && self.free_room(m).fits(room))
         });
         if !fits || places.len() as u32 != job.spec.tasks {
             return false;
--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 
+use quartzgate_hearing::{Age, Copies};
 use quartzgate_wire::http::Response;
 use quartzgate_wire::msg::{
     Change, Guard, Order, Report, ReportAnswer, TaskStatus, Transaction, TransactionAnswer,
@@ -42,6 +43,8 @@
     retry_ms: u64,
     used_ms: u64,
     jobs: BTreeMap<String, Known>,
+    /// Where the messages of each machine that came here stand.
+    copies: BTreeMap<String, Copies>,
     /// When each kept machine's token was last raised.
     raised: BTreeMap<String, u64>,
     /// Reports that wait for the claim or for a read, and until when.
@@ -63,6 +66,8 @@
 const TOKEN_STEP: u64 = 1 << 8;
 /// Reports that may wait at a time.
 const PARKED_MOST: usize = 200;
+/// Machines whose messages a keeper remembers at most.
+const MACHINES_MOST: usize = 4_000;
 /// Jobs that a keeper looks after at most.
 const JOBS_MOST: usize = 2_000;
 
@@ -73,6 +78,7 @@
             retry_ms: 0,
             used_ms: 0,
             jobs: BTreeMap::new(),
+            copies: BTreeMap::new(),
             raised: BTreeMap::new(),
             parked: Vec::new(),
         }
@@ -104,6 +110,15 @@
 
     /// Takes a worker's report on the leader's behalf; false if it has to go elsewhere.
     pub(crate) fn keep(&mut self, id: RequestId, report: &Report) -> bool {
+        if self.keeper.copies.len() >= MACHINES_MOST {
+            self.keeper.copies.clear();
+        }
+        let copies = self.keeper.copies.entry(report.machine.clone()).or_default();
+        // A copy needs no keeper: nothing is claimed, posted or raised for it.
+        if copies.report(report.tenure, report.seq) == Age::Copy {
+            self.copies_dropped += 1;
+            return false;
+        }
         match self.try_keep(id, report) {
             Verdict::Kept => true,
             // Sent round once more it might find its lease run out.
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
+use quartzgate_hearing::{Age, Copies, Hearing, Limits};
 use quartzgate_wire::http::Response;
 use quartzgate_wire::msg::{
     Cause, Forward, Order, OrdersRequest, Rank, Redirect, Report, ReportAnswer, Shape,
@@ -81,7 +82,9 @@
     pub spot: bool,
     pub state: MachineState,
     pub tenure: u64,
-    pub seq: u64,
+    /// Where its messages stand, so that late copies say nothing.
+    pub copies: Copies,
+    pub hearing: Hearing,
     pub token_seen: u64,
     /// Token that we command it with: the epoch and a counter that rises whenever
     /// an order's fate is unknown, so that a late order can't match.
@@ -154,7 +157,15 @@
     }
 
     pub fn usable(&self) -> bool {
-        self.state == MachineState::Ready && !self.quarantined && self.recall_ms.is_none()
+        self.state == MachineState::Ready
+            && !self.quarantined
+            && self.recall_ms.is_none()
+            && !self.hearing.deaf()
+    }
+
+    /// May be given a start now.
+    pub fn takes_work(&self, now_ms: u64) -> bool {
+        self.usable() && now_ms >= self.no_room_until_ms && self.hearing.takes_work()
     }
 }
 
@@ -232,7 +243,8 @@
             spot: false,
             state: MachineState::Unheard,
             tenure: 0,
-            seq: 0,
+            copies: Copies::default(),
+            hearing: Hearing::default(),
             token_seen: 0,
             token: in_epoch(self.epoch(), 0),
             answered_ms: None,
@@ -269,7 +281,6 @@
 
     /// The one function that changes a machine's state.
     pub(crate) fn machine_to(&mut self, ix: MachineIx, state: MachineState) {
-        let epoch = self.epoch();
         let Some(m) = self.machines.get_mut(ix) else { return };
         // What is being returned stays so until the cloud has said that it is gone.
         let leaving = m.state == MachineState::Returning && state != MachineState::Gone;
@@ -285,27 +296,33 @@
                 self.touched.insert(ix);
                 self.supply_changed = true;
             }
-            MachineState::Presumed | MachineState::Gone => {
-                // Orders still under way must not match when they arrive.
-                m.token = in_epoch(epoch, (m.token & 0xff_ffff) + 1);
-                m.reported.clear();
-                m.outbox.clear();
-                m.images.clear();
-                m.idle_since_ms = self.now.steady_ms;
-                let unproven = std::mem::take(&mut m.unproven);
-                let lost: Vec<TaskKey> = m.tasks.keys().copied().collect();
-                tracing::info!(machine = %m.name, ?state, tasks = lost.len(), "machine empty");
-                for key in lost {
-                    self.task_off(key);
-                }
-                self.proven_free(ix, unproven);
-                self.requeue_probes(ix);
-                self.supply_changed = true;
-            }
+            MachineState::Presumed | MachineState::Gone => self.emptied(ix),
             _ => {}
         }
     }
 
+    /// Nothing that was on the machine can be there any more.
+    fn emptied(&mut self, ix: MachineIx) {
+        let (epoch, now) = (self.epoch(), self.now.steady_ms);
+        let Some(m) = self.machines.get_mut(ix) else { return };
+        // Orders still under way must not match when they arrive.
+        m.token = in_epoch(epoch, (m.token & 0xff_ffff) + 1);
+        m.reported.clear();
+        m.outbox.clear();
+        m.images.clear();
+        m.hearing.silent();
+        m.idle_since_ms = now;
+        let unproven = std::mem::take(&mut m.unproven);
+        let lost: Vec<TaskKey> = m.tasks.keys().copied().collect();
+        tracing::info!(machine = %m.name, state = ?m.state, tasks = lost.len(), "machine empty");
+        for key in lost {
+            self.task_off(key);
+        }
+        self.proven_free(ix, unproven);
+        self.requeue_probes(ix);
+        self.supply_changed = true;
+    }
+
     /// None of these tasks can be on the machine any more.
     fn proven_free(&mut self, ix: MachineIx, keys: Vec<TaskKey>) {
         for key in keys {
@@ -361,11 +378,27 @@
             return self.answer(id, Response::new(421, body));
         }
         let ix = self.machine(&report.machine);
-        self.observe(ix, report);
+        let Some(m) = self.machines.get_mut(ix) else { return };
+        match m.copies.report(report.tenure, report.seq) {
+            Age::News => {}
+            // Sent before what we heard last, and so is the lease that an answer gives.
+            Age::Overtaken => {
+                m.answered_ms = Some(m.answered_ms.unwrap_or(0).max(m.heard_ms));
+                let body = to_cbor(&ReportAnswer { token: m.token, orders: Vec::new() });
+                return self.answer(id, Response::new(200, body));
+            }
+            // Nobody waits for an answer, and none that is given here may keep anything alive.
+            Age::Copy => {
+                self.copies_dropped += 1;
+                return self.answer(id, Response::new(421, to_cbor(&Redirect { owner: None })));
+            }
+        }
+        self.observe_news(ix, report);
         let now = self.now.steady_ms;
         let orders = self.standing_orders(ix);
         let Some(m) = self.machines.get_mut(ix) else { return };
         m.answered_ms = Some(now);
+        m.hearing.answered();
         m.relayer = relayer;
         (m.cut, m.via) = (m.cut && relayer.is_some(), None);
         let body = to_cbor(&ReportAnswer { token: m.token, orders });
@@ -449,9 +482,34 @@
         self.answer(id, Response::new(421, to_cbor(&Redirect { owner })));
     }
 
-    /// Takes in a report, whether it came by itself or as the answer to orders.
-    /// An older one than the newest known says nothing.
+    /// Takes in what a machine answered to a call of ours, or what a keeper heard of it. An
+    /// older one than the newest known says nothing.
     pub(crate) fn observe(&mut self, ix: MachineIx, report: Report) {
+        let news = self.machines.get_mut(ix).is_some_and(|m| {
+            epoch_of(report.token) > epoch_of(m.token) || m.copies.told(report.tenure, report.seq)
+        });
+        if news {
+            self.observe_news(ix, report);
+        }
+    }
+
+    /// A machine has answered a call of ours: it lives now, and hears.
+    pub(crate) fn answered_call(&mut self, ix: MachineIx, report: Report) {
+        let now = self.now.steady_ms;
+        if let Some(m) = self.machines.get_mut(ix) {
+            m.heard_ms = now;
+            m.hearing.order_answered(now);
+        }
+        self.observe(ix, report);
+    }
+
+    /// Time between reports and the lease, as they bear on a machine's hearing.
+    fn hearing_limits(&self) -> Limits {
+        Limits { report_ms: self.cfg.report_ms(), lease_ms: self.cfg.lease_ms() }
+    }
+
+    /// Takes in a report that is newer than all that is known of the machine.
+    fn observe_news(&mut self, ix: MachineIx, report: Report) {
         // Whatever way it came, such a report says that another leads. Its token must
         // never become ours: orders that bear it would be obeyed.
         if epoch_of(report.token) > self.epoch() {
@@ -459,18 +517,20 @@
             return self.superseded();
         }
         let now = self.now.steady_ms;
-        let zone = self.zone_ix(&report.zone);
+        let (zone, limits) = (self.zone_ix(&report.zone), self.hearing_limits());
         let Some(m) = self.machines.get_mut(ix) else { return };
         m.heard_ms = now;
-        if (report.tenure, report.seq) <= (m.tenure, m.seq) {
-            return;
-        }
         let new_session = report.tenure > m.tenure;
         let lost = m.tasks.len() + m.unproven.len();
         if new_session && m.tenure > 0 && lost > 0 {
             tracing::info!(machine = %m.name, lost, "its lease ran out: a new session");
         }
-        (m.tenure, m.seq, m.token_seen) = (report.tenure, report.seq, report.token);
+        let deaf = m.hearing.deaf();
+        m.hearing.report(now, new_session, &limits);
+        if report.token >= m.token {
+            m.hearing.shows_token();
+        }
+        (m.tenure, m.token_seen) = (report.tenure, report.token);
         m.addr = report.addr.parse().ok();
         m.kind = report.kind;
         m.zone = zone;
@@ -489,9 +549,25 @@
         m.token = m.token.max(m.token_seen);
         m.reported = report.tasks;
         m.fresh_session = new_session;
+        self.heard_again(ix, deaf);
         self.settle(ix);
     }
 
+    /// Follows up on a change of what is thought of a machine's hearing.
+    fn heard_again(&mut self, ix: MachineIx, was_deaf: bool) {
+        let Some(m) = self.machines.get(ix).filter(|m| m.hearing.deaf() != was_deaf) else {
+            return;
+        };
+        self.supply_changed = true;
+        if was_deaf {
+            tracing::info!(machine = %m.name, "hears again");
+            self.touched.insert(ix);
+        } else {
+            tracing::info!(machine = %m.name, "speaks but does not hear: it gets no new work");
+            self.requeue_probes(ix);
+        }
+    }
+
     /// Draws the consequences of a machine's newest report.
     pub(crate) fn settle(&mut self, ix: MachineIx) {
         let base = in_epoch(self.epoch(), 0);
@@ -550,7 +626,7 @@
             self.machine_to(ix, MachineState::Greeted);
             self.needs_orders.insert(ix);
         }
-        if !knows_token {
+        if !knows_token || self.machines.get(ix).is_some_and(|m| m.hearing.deaf()) {
             self.needs_orders.insert(ix);
         }
         self.touched.insert(ix);
@@ -718,8 +794,10 @@
             return;
         }
         let starts = std::mem::take(&mut m.outbox);
-        let greet = m.token_seen < m.token;
-        if starts.is_empty() && stops.is_empty() && !greet {
+        // One that is taken for deaf is called now and then, to see whether it is.
+        let greet = m.token_seen < m.token || m.hearing.deaf();
+        let may_call = m.hearing.may_call(self.now.steady_ms) || !starts.is_empty();
+        if starts.is_empty() && stops.is_empty() && !greet || !may_call {
             return;
         }
         let (token, tenure) = (m.token, m.tenure);
@@ -798,9 +876,22 @@
         starts: Vec<(TaskKey, u64)>,
         outcome: Outcome,
     ) {
+        let (now, limits) = (self.now.steady_ms, self.hearing_limits());
+        let by_post = self.post_route(ix).is_some();
         let Some(m) = self.machines.get_mut(ix) else { return };
         m.calling = false;
-        let now = self.now.steady_ms;
+        let deaf = m.hearing.deaf();
+        match &outcome {
+            // An answer to a call is no copy: the machine lives now.
+            Outcome::Answer(r) if matches!(r.status, 200 | 409) => {
+                m.heard_ms = now;
+                m.hearing.order_answered(now)
+            }
+            Outcome::NotSent => {}
+            _ => m.hearing.order_lost(now, !by_post, &limits),
+        }
+        self.heard_again(ix, deaf);
+        let Some(m) = self.machines.get_mut(ix) else { return };
         // A machine that can only be told by others is tried directly once a lease.
         let again = now > m.cut_ms + self.cfg.lease_ms();
         let by_others = m.cut && !again && (m.via.is_some() || m.relayer.is_some());
@@ -853,7 +944,7 @@
         }
     }
 
-    /// Sends back the odd machine that has fallen silent while the others are heard:
+    /// Sends back the odd machine that has fallen silent, or does not hear, while the others do:
     /// the cloud's word that it is gone frees its tasks before its lease would. Where
     /// many are silent the network is to blame, and they are left alone, but for those
     /// that the cloud no longer lists.
@@ -862,8 +953,8 @@
         // Workers need a while to find a new leader; all that we have the address of are
         // asked for their reports before this.
         let (patience, at_first) = (self.cfg.lease_ms() / 3, self.cfg.lease_ms() * 3 / 4);
-        let time_to_answer = self.cfg.report_ms() / 2;
-        let (mut silent, mut heard) = (Vec::new(), 0);
+        let (time_to_answer, limits) = (self.cfg.report_ms() / 2, self.hearing_limits());
+        let (mut silent, mut heard, mut odd) = (Vec::new(), 0, 0);
         for (ix, m) in self.machines.iter() {
             let since = m.heard_ms.max(m.since_ms).max(self.epoch_began_ms);
             // Through a pause it was we who heard nothing.
@@ -878,19 +969,26 @@
             };
             let asked = m.probed_ms > m.heard_ms && now >= m.probed_ms + time_to_answer;
             let asked = asked || m.addr.is_none() || unlisted || self.post_route(ix).is_some();
+            // It is heard, but nothing that it is told arrives; or the cloud has it no more, and
+            // what is heard of it was held back.
+            let deaf = m.hearing.deaf();
+            let lost = m.hearing.lost(now, &limits) || deaf && unlisted;
             match m.state {
                 MachineState::Presumed | MachineState::Returning | MachineState::Gone => {}
+                _ if lost => silent.push((ix, true, unlisted)),
                 _ if now > since + patience && asked => silent.push((ix, holds, unlisted)),
+                _ if deaf => odd += 1,
                 MachineState::Ready => heard += 1,
                 _ => {}
             }
         }
-        let odd = silent.iter().filter(|(_, _, unlisted)| !unlisted).count();
+        odd += silent.iter().filter(|(_, _, unlisted)| !unlisted).count();
         let many = odd * 12 > heard + 12 || !self.member.keepers.is_empty();
         for (ix, holds, unlisted) in silent {
             let Some(m) = self.machines.get(ix) else { continue };
             if holds && (unlisted || !many) {
-                tracing::info!(machine = %m.name, unlisted, "silent while others are heard");
+                let deaf = m.hearing.deaf();
+                tracing::info!(machine = %m.name, unlisted, deaf, "silent while others are heard");
                 self.begin_return(ix);
             }
         }
@@ -928,18 +1026,23 @@
             let Some(m) = self.machines.get(ix) else { continue };
             let told = m.answered_ms.unwrap_or(0);
             let presumable = match m.state {
-                MachineState::Presumed | MachineState::Gone | MachineState::Returning => false,
+                MachineState::Presumed | MachineState::Gone => false,
                 // It takes no other token than ours: its lease hangs on our answers.
                 // Nor was it kept alive for us: that is known up to `unkept`.
                 _ if m.token_seen >= base => unkept >= told.max(m.heard_ms) + silence,
                 // A former owner may have kept it alive until its horizon.
                 _ => unkept >= self.epoch_began_ms + inheritance && unkept >= told + silence,
             };
-            let holds =
-                m.state != MachineState::Unheard || !m.unproven.is_empty() || !m.tasks.is_empty();
-            if presumable && holds {
-                tracing::info!(machine = %m.name, "silent past its lease: presumed empty");
-                self.machine_to(ix, MachineState::Presumed);
+            let holds = !m.unproven.is_empty() || !m.tasks.is_empty();
+            let leaving = m.state == MachineState::Returning;
+            if !presumable || !holds && (leaving || m.state == MachineState::Unheard) {
+                continue;
+            }
+            tracing::info!(machine = %m.name, leaving, "silent past its lease: presumed empty");
+            match leaving {
+                // Whatever becomes of its return, nothing is on it.
+                true => self.emptied(ix),
+                false => self.machine_to(ix, MachineState::Presumed),
             }
         }
     }
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 
+use quartzgate_hearing::Standing;
 use quartzgate_ladder::Feature;
 use quartzgate_wire::to_cbor;
 
@@ -59,10 +60,13 @@
         put("tasks_waiting", f64::from(waiting));
         put("tasks_on_machines", f64::from(on));
         let (mut queued, mut longest, mut wait_s, mut quarantined) = (0, 0, 0.0f64, 0);
+        let (mut deaf, mut doubted) = (0, 0);
         let mut states = [0u32; 6];
         for (_, m) in self.machines.iter() {
             states[m.state as usize] += 1;
             quarantined += u32::from(m.quarantined);
+            deaf += u32::from(m.hearing.deaf());
+            doubted += u32::from(m.hearing.standing() == Standing::Doubted);
             queued += m.queue.len();
             longest = longest.max(m.queue.len());
             wait_s = wait_s.max(m.wait_s);
@@ -74,6 +78,9 @@
         put("machines_presumed_empty", state(MachineState::Presumed));
         put("machines_returning", state(MachineState::Returning));
         put("machines_quarantined", f64::from(quarantined));
+        put("machines_deaf", f64::from(deaf));
+        put("machines_doubted", f64::from(doubted));
+        put("copies_dropped", self.copies_dropped as f64);
         put("machines_expected", self.cloud.expected() as f64);
         put("probes_queued", queued as f64);
         put("queue_longest", longest as f64);
--- a/crates/core/src/post.rs
+++ b/crates/core/src/post.rs
@@ -139,7 +139,10 @@
             (k.tenure, k.token, &k.tasks) == (report.tenure, report.token, &report.tasks)
                 && k.notice_s.is_some() == report.notice_s.is_some()
         });
+        let older = |k: &Report| (report.tenure, report.seq) <= (k.tenure, k.seq);
+        let late = known.is_some_and(|(k, _)| older(k));
         let tray = self.post.trays.entry(at).or_default();
+        let same = same || late || tray.reports.get(&report.machine).is_some_and(older);
         if !same && (tray.reports.len() < TRAY_MOST || tray.reports.contains_key(&report.machine)) {
             tray.reports.insert(report.machine.clone(), report.clone());
         }
--- a/crates/core/src/restore.rs
+++ b/crates/core/src/restore.rs
@@ -420,7 +420,7 @@
         let Some(m) = self.machines.get(ix) else { return };
         let Ok(report) = from_cbor::<Report>(&r.body) else { return };
         if r.status == 200 && sane(&report) && report.machine == m.name {
-            self.observe(ix, report);
+            self.answered_call(ix, report);
             self.needs_orders.insert(ix);
         }
     }
--- a/crates/core/tests/stories/chains.rs
+++ b/crates/core/tests/stories/chains.rs
@@ -442,6 +442,6 @@
                 w.run(500);
             }
         }
-        w.keep_rules();
+        w.nobody_is_forgotten();
     }
 }
--- a/crates/core/tests/stories/main.rs
+++ b/crates/core/tests/stories/main.rs
@@ -2,6 +2,7 @@
 //! the rules. Each says what it guards.
 
 mod chains;
+mod hearing;
 mod inline;
 mod pages;
 mod restarts;
@@ -997,7 +998,7 @@
                 }
             }
         }
-        w.keep_rules();
+        w.nobody_is_forgotten();
     }
 }
 
--- a/crates/core/tests/stories/pages.rs
+++ b/crates/core/tests/stories/pages.rs
@@ -365,7 +365,7 @@
         numbers.sort_unstable();
         numbers.dedup();
         assert_eq!(numbers, (1..=numbers.len() as u64).collect::<Vec<_>>(), "none is skipped");
-        w.keep_rules();
+        w.nobody_is_forgotten();
     }
 }
 
@@ -470,7 +470,7 @@
             w.until_done(&name(n), 120_000);
         }
         assert_eq!(w.state.too_large, 0);
-        w.keep_rules();
+        w.nobody_is_forgotten();
     }
 }
 
@@ -518,7 +518,7 @@
         }
         w.run(CANCEL_MS);
         assert_eq!(paged(&w).len(), 0, "seed {seed}");
-        w.keep_rules();
+        w.nobody_is_forgotten();
     }
 }
 
--- a/crates/core/tests/stories/restarts.rs
+++ b/crates/core/tests/stories/restarts.rs
@@ -121,7 +121,7 @@
             let cut_off = matches!(case / 5 % 6, 3 | 5) || ends > 2;
             assert!(starts.len() == 1 || cut_off, "case {case}: {} ran on", name(n));
         }
-        w.keep_rules();
+        w.nobody_is_forgotten();
     }
     gaps.sort_unstable();
     let at = |part: f64| gaps[(part * (gaps.len() - 1) as f64) as usize];
@@ -151,7 +151,7 @@
         assert!(now.epoch < 8, "the lead changed {} times", now.epoch);
         let ms = to_first_start(&mut w, "wk-900000");
         assert!(ms < 2_000, "{ms} ms");
-        w.keep_rules();
+        w.nobody_is_forgotten();
     }
 }
 
@@ -185,7 +185,7 @@
         for n in 0..10 {
             w.until_done(&name(n), 180_000);
         }
-        w.keep_rules();
+        w.nobody_is_forgotten();
     }
 }
 
@@ -219,6 +219,60 @@
             w.until_done(&name(n), 60_000);
         }
         assert!(w.told.values().all(|s| *s == JobStatus::Done));
-        w.keep_rules();
+        w.nobody_is_forgotten();
+    }
+}
+
+/// Guards what was accepted in the last moment before its controller ended or was cut off: by the
+/// leader, by a follower that passes it on, by one that decides alone; paged and by itself; while
+/// the next leader still reads. It is answered for by every controller once troubles are over, and
+/// runs.
+#[test]
+fn accepted_in_the_last_moment_is_not_forgotten() {
+    let mut accepted_in_all = 0;
+    for case in 0..36u64 {
+        let mut w = World::new(3, 8, 0.0, 9_500 + case);
+        w.cloud_off = false;
+        w.paged = case % 2 == 0;
+        w.start_anew();
+        w.until(20_000, "all steps are taken", |w| w.stands().version >= 4);
+        w.run(1_500);
+        let leader = w.leader().unwrap();
+        let at = (leader + case as usize % 3) % 3;
+        if case / 6 % 3 == 1 {
+            // Nobody answers for the leader; who is asked decides alone.
+            (0..3)
+                .filter(|n| *n != leader)
+                .for_each(|n| w.cut(End::Node(leader), End::Node(n), Cut::Drop));
+            w.run(2_000);
+        }
+        let asks: Vec<usize> = (0..10)
+            .map(|n| {
+                let ask = w.submit(at, &job(&name(n), Shape::Array, 1 + n % 3));
+                w.run(3 + 7 * (case / 6));
+                ask
+            })
+            .collect();
+        match case / 6 {
+            0..3 => w.kill_for(at, GONE_MS),
+            3 => (0..3).for_each(|n| w.kill_for(n, GONE_MS)),
+            4 => w.cut(End::Node(at), End::State, Cut::Hold),
+            _ => {
+                w.state.down = true;
+                w.kill_for(at, 4_000);
+            }
+        }
+        w.run(5_000);
+        w.heal();
+        w.state.down = false;
+        w.nobody_is_forgotten();
+        let accepted = |w: &World, n: &usize| w.status(asks[*n]) == 201;
+        let kept: Vec<usize> = (0..10).filter(|n| accepted(&w, n)).collect();
+        accepted_in_all += kept.len();
+        for n in kept {
+            w.until_done(&name(n as u32), 60_000);
+        }
+        w.nobody_is_forgotten();
     }
+    assert!(accepted_in_all > 100, "{accepted_in_all} accepted");
 }
--- a/crates/core/tests/stories/world.rs
+++ b/crates/core/tests/stories/world.rs
@@ -37,19 +37,86 @@
     Hold,
 }
 
+/// What does not reach a machine that speaks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Deaf {
+    pub answers: bool,
+    pub orders: bool,
+}
+
+/// Copies of reports that come late, at any controller.
+#[derive(Clone, Copy, Debug)]
+pub struct LateCopies {
+    pub share: f64,
+    pub from_ms: u64,
+    pub to_ms: u64,
+}
+
 enum Msg {
-    Tick { node: usize, life: u32 },
-    Call { from: usize, life: u32, call: Call },
-    Outcome { node: usize, life: u32, call: CallId, outcome: Outcome },
-    WatchEnd { node: usize, life: u32, call: CallId, starts: String, since: u64, until: u64 },
-    Report { worker: String },
-    Checkin { worker: String, node: usize, sent_ms: u64, body: Vec<u8> },
-    Answer { worker: String, sent_ms: u64, status: u16, body: Vec<u8> },
-    Work { worker: String },
-    User { node: usize, ask: u64 },
-    Boot { machine: String, zone: String },
-    Restart { node: usize },
-    Wake { node: usize, life: u32 },
+    /// A copy of a report, to which nobody waits for an answer.
+    Copy {
+        node: usize,
+        body: Vec<u8>,
+    },
+    Reborn {
+        worker: String,
+    },
+    Tick {
+        node: usize,
+        life: u32,
+    },
+    Call {
+        from: usize,
+        life: u32,
+        call: Call,
+    },
+    Outcome {
+        node: usize,
+        life: u32,
+        call: CallId,
+        outcome: Outcome,
+    },
+    WatchEnd {
+        node: usize,
+        life: u32,
+        call: CallId,
+        starts: String,
+        since: u64,
+        until: u64,
+    },
+    Report {
+        worker: String,
+    },
+    Checkin {
+        worker: String,
+        node: usize,
+        sent_ms: u64,
+        body: Vec<u8>,
+    },
+    Answer {
+        worker: String,
+        sent_ms: u64,
+        status: u16,
+        body: Vec<u8>,
+    },
+    Work {
+        worker: String,
+    },
+    User {
+        node: usize,
+        ask: u64,
+    },
+    Boot {
+        machine: String,
+        zone: String,
+    },
+    Restart {
+        node: usize,
+    },
+    Wake {
+        node: usize,
+        life: u32,
+    },
 }
 
 struct Entry {
@@ -205,6 +272,15 @@
     pub cloud_off: bool,
     /// Machines that the lagging list does not show yet.
     pub unlisted: BTreeSet<String>,
+    /// Machines that speak and don't hear, and how many starts were lost on the way to each.
+    pub deaf: BTreeMap<String, Deaf>,
+    pub lost_starts: BTreeMap<String, u32>,
+    pub copies: Option<LateCopies>,
+    /// Time after which a worker that was sent away tries the next controller, if not with its
+    /// next report.
+    pub hop_ms: Option<u64>,
+    /// Machines are kept however long they are idle.
+    pub keeps_idle: bool,
     /// Largest value that the state service takes, where it is not what `platform` says.
     pub value_kb: Option<f64>,
     /// The cloud takes no machine back.
@@ -231,6 +307,7 @@
 }
 
 enum Asker {
+    Nobody,
     User(u64),
     Worker(String, u64),
     Node(usize, u32, CallId),
@@ -325,6 +402,11 @@
             next_machine: 0,
             cloud_off: true,
             unlisted: BTreeSet::new(),
+            deaf: BTreeMap::new(),
+            lost_starts: BTreeMap::new(),
+            copies: None,
+            hop_ms: None,
+            keeps_idle: false,
             value_kb: None,
             returns_off: false,
             hires: BTreeMap::new(),
@@ -404,7 +486,9 @@
         let withhold = self.withhold.get(&n).cloned().unwrap_or_default();
         let new_format = !self.old.contains(&n);
         let share_pages_below = if self.paged { 1.0 } else { 0.5 };
-        let operator = Operator { new_format, withhold, share_pages_below, ..Operator::default() };
+        let idle_ratio = if self.keeps_idle { 1_000.0 } else { Operator::default().idle_ratio };
+        let operator =
+            Operator { new_format, withhold, share_pages_below, idle_ratio, ..Operator::default() };
         let mut config = Config::new(platform, operator);
         config.table = self.table_of(n);
         self.born_rev[n] = self.state.rev;
@@ -433,6 +517,16 @@
         self.after(ms, Msg::Restart { node: n });
     }
 
+    /// A machine ends with all that is on it and is back after so long, under its name and
+    /// address, in a new session.
+    pub fn reboot(&mut self, name: &str, ms: u64) {
+        let Some(w) = self.workers.get_mut(name) else { return };
+        w.dead = true;
+        w.tasks.clear();
+        w.tenure += 1;
+        self.after(ms, Msg::Reborn { worker: name.into() });
+    }
+
     /// Once all troubles are over: every job that was accepted and not cancelled is answered
     /// for within 75 s by every controller that is ready, however often it has to be asked.
     pub fn nobody_is_forgotten(&mut self) {
@@ -778,6 +872,23 @@
                 let id = self.request(node, Asker::User(ask));
                 self.feed(node, Event::Client { id, request });
             }
+            Msg::Copy { node, body } => {
+                if self.nodes[node].is_some() {
+                    let (method, target) = ("POST".into(), "/checkin".into());
+                    let request = Request { method, target, body, close: false };
+                    let id = self.request(node, Asker::Nobody);
+                    self.feed(node, Event::Client { id, request });
+                }
+            }
+            Msg::Reborn { worker } => {
+                if let Some(w) = self.workers.get_mut(&worker) {
+                    w.dead = false;
+                    w.waiting = false;
+                    w.lease_from = self.now;
+                    self.after(1, Msg::Report { worker: worker.clone() });
+                    self.after(2, Msg::Work { worker });
+                }
+            }
             Msg::Boot { machine, zone } => self.boot(&machine, &zone, false),
         }
     }
@@ -914,7 +1025,7 @@
                 let outcome = Outcome::Answer(response);
                 self.after(d, Msg::Outcome { node: asker, life: asker_life, call, outcome });
             }
-            None => {}
+            Some(Asker::Nobody) | None => {}
         }
     }
 
@@ -1431,6 +1542,13 @@
         let node = w.node;
         let body = to_cbor(&self.report_of(name).unwrap());
         let worker = name.to_string();
+        if let Some(c) = self.copies {
+            if self.rng.random_bool(c.share) {
+                let late = self.rng.random_range(c.from_ms..=c.to_ms);
+                let node = self.rng.random_range(0..self.nodes.len());
+                self.after(late, Msg::Copy { node, body: body.clone() });
+            }
+        }
         // No answer within four seconds: the next node.
         self.after(
             4_000,
@@ -1450,7 +1568,8 @@
     fn worker_answer(&mut self, name: &str, sent_ms: u64, status: u16, body: &[u8]) {
         let nodes = self.nodes.len();
         let now = self.now;
-        let Some(w) = self.workers.get_mut(name) else { return };
+        let unheard = self.deaf.get(name).is_some_and(|d| d.answers) && status > 1;
+        let Some(w) = self.workers.get_mut(name).filter(|_| !unheard) else { return };
         if w.dead || !w.waiting || now > sent_ms + 4_000 || now < w.hung_until {
             if now >= sent_ms + 4_000 && status == 0 {
                 w.waiting = false;
@@ -1479,7 +1598,12 @@
                         w.node = n;
                         self.after(100, Msg::Report { worker: name.into() });
                     }
-                    _ => w.node = (w.node + 1) % nodes,
+                    _ => {
+                        w.node = (w.node + 1) % nodes;
+                        if let Some(ms) = self.hop_ms {
+                            self.after(ms, Msg::Report { worker: name.into() });
+                        }
+                    }
                 }
             }
             _ => w.node = (w.node + 1) % nodes,
@@ -1488,6 +1612,12 @@
 
     fn worker_call(&mut self, name: &str, from: usize, life: u32, call: Call) {
         let now = self.now;
+        if self.deaf.get(name).is_some_and(|d| d.orders) {
+            let orders = from_cbor::<OrdersRequest>(&call.body).map_or(Vec::new(), |o| o.orders);
+            let starts = orders.iter().filter(|o| matches!(o, Order::Start { .. })).count();
+            *self.lost_starts.entry(name.to_string()).or_default() += starts as u32;
+            return;
+        }
         let Some(w) = self.workers.get_mut(name) else { return };
         if w.dead {
             return;
