Gangs' places are held until they start; room is gathered for wide ones that wait

A planned gang's room is now no other's of its priority or below; older gangs plan first; past a quarter of its class's wait what is free is gathered for one that finds too little, for gang_wait_s at a time. Tasks are given other machines only once those given last stand on record, and none behind services that leave no room (a story found tasks that waited behind their own replicas for ever).

--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -1,6 +1,6 @@
 //! The controller: one value that takes events and gives actions.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use quartzgate_ladder::StandingRecord;
 use quartzgate_wire::http::Response;
@@ -15,6 +15,7 @@
 use crate::dispatch::Ratios;
 use crate::field::Effort;
 use crate::format::Format;
+use crate::gang::Held;
 use crate::ids::{JobIx, MachineIx, TaskKey};
 use crate::jobs::Jobs;
 use crate::keeper::Keeper;
@@ -184,6 +185,8 @@
     /// Reads of records that failed and are tried again.
     pub(crate) store_retry: Vec<FlushItem>,
     pub(crate) inbox_again: Vec<String>,
+    /// Room that is kept for gangs, by machine.
+    pub(crate) held: BTreeMap<MachineIx, Held>,
     /// Late copies of reports that were dropped.
     pub(crate) copies_dropped: u64,
 }
@@ -247,6 +250,7 @@
             second_at_ms: 0,
             store_retry: Vec::new(),
             inbox_again: Vec::new(),
+            held: BTreeMap::new(),
             copies_dropped: 0,
         }
     }
@@ -512,6 +516,7 @@
         self.attempts = 0;
         self.store_retry.clear();
         self.inbox_again.clear();
+        self.held.clear();
         self.clear_post();
     }
 
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -63,6 +63,13 @@
         self.capacity_of(&m.kind).map_or(Room::default(), |c| c.minus(&m.used))
     }
 
+    /// Room of a machine for work of this priority: what is held for gangs that are no less
+    /// urgent is not for others.
+    pub(crate) fn room_for(&self, ix: MachineIx, m: &Machine, rank: Rank) -> Room {
+        let free = self.free_room(m);
+        self.held.get(&ix).filter(|h| h.rank >= rank).map_or(free, |h| free.minus(&h.room))
+    }
+
     /// Type, zone and kind of machine that a job allows.
     pub(crate) fn allows(&self, spec: &JobSpec, kind: &str, zone: Option<u16>, spot: bool) -> bool {
         let zones = &self.cfg.platform.params.zones;
@@ -404,8 +411,9 @@
         let (mut live, mut has_room) = (false, false);
         for p in &task.probes {
             let Some(m) = self.machines.get(p.machine).filter(|m| m.usable()) else { continue };
-            live = true;
-            has_room |= self.free_room(m).fits(&need) && !job.errors_on.contains(&p.machine);
+            live |= self.may_come_free(m, job.rank, &need);
+            has_room |= self.room_for(p.machine, m, job.rank).fits(&need)
+                && !job.errors_on.contains(&p.machine);
         }
         let elsewhere = |ix: &MachineIx| !task.probes.iter().any(|p| p.machine == *ix);
         has_room || live && !room.iter().any(elsewhere)
@@ -416,11 +424,22 @@
         let Some(job) = self.jobs.get(key.job) else { return false };
         let Some(task) = job.task(key.task) else { return false };
         let (spec, fixed, avoid) = (job.spec.clone(), job.zone, job.errors_on.clone());
-        let usable = |p: &Probe| self.machines.get(p.machine).is_some_and(|m| m.usable());
-        let live = task.probes.iter().any(usable);
+        let (rank, need) = (job.rank, job.room());
+        let usable = |p: &&Probe| self.machines.get(p.machine).is_some_and(|m| m.usable());
+        let may_serve = |p: &Probe| {
+            let m = self.machines.get(p.machine).filter(|m| m.usable());
+            m.is_some_and(|m| self.may_come_free(m, rank, &need))
+        };
+        let live = task.probes.iter().any(may_serve);
         if live && !field.roomy(None) {
             return false;
         }
+        // What was chosen last has to stand before it is chosen anew: otherwise a task whose
+        // record waits for its turn would be given others for ever, and never start.
+        let acked = job.chunks.get(&(key.task / CHUNK)).map_or(0, |c| c.acked);
+        if task.probes.iter().filter(usable).any(|p| p.version > acked) {
+            return false;
+        }
         let Some(zone) = self.zone_for(key, field).map(|z| z.or(fixed)) else { return false };
         if !field.roomy(zone) && (live || !field.any_in(zone)) {
             return false;
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::controller::Controller;
 use crate::ids::{JobIx, MachineIx, TaskKey};
 use crate::jobs::{Job, JobState, Task, TaskState};
-use crate::machines::Room;
+use crate::machines::{Machine, Room};
 use crate::queue::{pick, QueueOrder, Standing};
 use crate::wait::expected_wait;
 
@@ -120,9 +120,9 @@
             }
         }
         for ix in self.machines.indexes() {
-            let wait_s = self.wait_of(ix);
+            let (wait_s, lasting) = (self.wait_of(ix), self.lasting_on(ix));
             if let Some(m) = self.machines.get_mut(ix) {
-                m.wait_s = wait_s;
+                (m.wait_s, m.lasting) = (wait_s, lasting);
             }
         }
     }
@@ -160,6 +160,23 @@
         }
     }
 
+    /// What services on a machine use, by priority.
+    fn lasting_on(&self, ix: MachineIx) -> [Room; 4] {
+        let mut lasting: [Room; 4] = Default::default();
+        let Some(m) = self.machines.get(ix) else { return lasting };
+        let jobs = m.tasks.keys().filter_map(|k| self.jobs.get(k.job));
+        for job in jobs.filter(|j| j.spec.shape == Shape::Service && j.state == JobState::Live) {
+            lasting[job.rank as usize].add(&job.room(), 1.0);
+        }
+        lasting
+    }
+
+    /// Whether a machine may come to have room for a task: services leave it some.
+    pub(crate) fn may_come_free(&self, m: &Machine, rank: Rank, need: &Room) -> bool {
+        let all = self.capacity_of(&m.kind);
+        all.is_some_and(|all| all.minus(&m.held_for_good(rank)).fits(need))
+    }
+
     /// E\[W\] of a machine's queue.
     fn wait_of(&self, ix: MachineIx) -> f64 {
         let Some(m) = self.machines.get(ix) else { return 0.0 };
@@ -203,7 +220,13 @@
             if free.cpus < 1e-6 {
                 return;
             }
-            let fits = |k: &TaskKey| self.jobs.get(k.job).is_some_and(|j| free.fits(&j.room()));
+            let held = self.held.get(&ix);
+            let fits = |k: &TaskKey| {
+                self.jobs.get(k.job).is_some_and(|j| {
+                    let kept = held.filter(|h| h.rank >= j.rank);
+                    kept.map_or(free, |h| free.minus(&h.room)).fits(&j.room())
+                })
+            };
             if !m.queue.iter().any(fits) {
                 return;
             }
@@ -233,9 +256,7 @@
                 m.wait_s,
                 operator.wait_threshold_s,
             );
-            let picked = pick(&standings, order, operator.slack_cap, |place| {
-                self.jobs.get(keys[place].job).is_some_and(|j| free.fits(&j.room()))
-            });
+            let picked = pick(&standings, order, operator.slack_cap, |at| fits(&keys[at]));
             self.touched.extend(elsewhere.into_iter().filter(|e| *e != ix));
             let Some(picked) = picked else { return };
             for passed in picked.passed {
@@ -292,7 +313,7 @@
             self.machines.get(*other).is_some_and(|m| {
                 m.takes_work(self.now.steady_ms)
                     && m.images.contains(&job.image)
-                    && self.free_room(m).fits(&need)
+                    && self.room_for(*other, m, job.rank).fits(&need)
             })
         })
     }
--- a/crates/core/src/field.rs
+++ b/crates/core/src/field.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use ordered_float::OrderedFloat;
-use quartzgate_wire::msg::JobSpec;
+use quartzgate_wire::msg::{JobSpec, Rank};
 use rand::Rng;
 
 use crate::budget::Budget;
@@ -244,7 +244,11 @@
             let kind = kinds.iter().find(|k| k.name == m.kind);
             let allowed = (job.spec.spot || !m.spot) && want.is_none_or(|z| m.zone == z);
             let Some(kind) = kind.filter(|k| allowed && k.all.fits(&field.need)) else { continue };
-            let (free, spare) = self.spare_room(m, &kind.all, &field.need);
+            // What services hold for good leaves no room for it.
+            if !kind.all.minus(&m.held_for_good(job.rank)).fits(&field.need) {
+                continue;
+            }
+            let (free, spare) = self.spare_room(mix, m, &kind.all, &field.need, job.rank);
             let image = m.images.contains(&job.image);
             field.list.push(Candidate {
                 ix: mix,
@@ -279,11 +283,21 @@
 
     /// Room that a machine has now, and what of it its queue has not spoken for. What is
     /// full stays full, whatever its queue has spoken for.
-    fn spare_room(&self, m: &Machine, all: &Room, need: &Room) -> (Room, Room) {
+    fn spare_room(
+        &self,
+        ix: MachineIx,
+        m: &Machine,
+        all: &Room,
+        need: &Room,
+        rank: Rank,
+    ) -> (Room, Room) {
         if !m.takes_work(self.now.steady_ms) {
             return (Room::default(), Room::default());
         }
-        let free = all.minus(&m.used);
+        let mut free = all.minus(&m.used);
+        if let Some(held) = self.held.get(&ix).filter(|h| h.rank >= rank) {
+            free = free.minus(&held.room);
+        }
         let mut spare = free;
         for key in &m.queue {
             if !spare.fits(need) {
@@ -328,7 +342,7 @@
         let mut roomy = Roomy::default();
         for (ix, m) in self.machines.iter().filter(|(_, m)| m.usable()) {
             let Some(all) = self.capacity_of(&m.kind) else { continue };
-            let (_, spare) = self.spare_room(m, &all, &least);
+            let (_, spare) = self.spare_room(ix, m, &all, &least, Rank::Low);
             if !spare.fits(&least) {
                 continue;
             }
--- a/crates/core/src/gang.rs
+++ b/crates/core/src/gang.rs
@@ -1,9 +1,10 @@
 //! Gangs: all tasks placed at once, recorded at once, started under one attempt
 //! number once every member holds room; stopped together.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-use quartzgate_wire::msg::{Shape, TaskStatus};
+use quartzgate_wire::msg::{Rank, Shape, TaskStatus};
 
 use crate::controller::Controller;
 use crate::ids::{JobIx, MachineIx, TaskKey};
@@ -24,6 +25,35 @@
     Broken,
 }
 
+/// What came of planning a gang.
+enum Plan {
+    Made,
+    /// There are places for some of it only.
+    Short(Vec<MachineIx>),
+    /// It can't be planned now, whatever room there is.
+    Later,
+}
+
+/// Room of a machine that gangs are to start on, or that is gathered for one.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Held {
+    pub room: Room,
+    /// The most urgent of those that it is held for: it is theirs before others' of this
+    /// priority and below.
+    pub rank: Rank,
+}
+
+impl Held {
+    fn add(held: &mut BTreeMap<MachineIx, Held>, ix: MachineIx, rank: Rank, need: &Room) {
+        let h = held.entry(ix).or_insert(Held { room: Room::default(), rank });
+        h.room.add(need, 1.0);
+        h.rank = h.rank.max(rank);
+    }
+}
+
+/// Part of the longest wait of its class after which room is gathered for a gang.
+const GATHER_PART: u64 = 4;
+
 impl GangState {
     fn of(job: &Job) -> GangState {
         let (mut idle, mut on, mut unproven) = (job.chunks.is_empty(), false, false);
@@ -45,36 +75,71 @@
 }
 
 impl Controller {
-    /// Moves every gang on as far as it can go now.
+    /// Moves every gang on as far as it can go now: the more urgent first, then the older.
+    /// What one is to start on is no other's, from the plan until it has started; and room
+    /// that is too little for a gang that has waited for long is gathered for it, so that
+    /// smaller ones that come later do not keep it out for ever. An older one always gathers
+    /// before a younger one, so that no two hold what the other lacks.
     pub(crate) fn tick_gangs(&mut self) {
-        let gangs: Vec<JobIx> = self
+        let mut gangs: Vec<(Reverse<Rank>, u64, JobIx)> = self
             .jobs
             .iter()
             .filter(|(_, j)| j.spec.shape == Shape::Gang && j.state == JobState::Live && !j.busy)
-            .map(|(ix, _)| ix)
+            .map(|(ix, j)| (Reverse(j.rank), j.ready_ms, ix))
             .collect();
-        for ix in gangs {
+        gangs.sort_unstable();
+        let mut held: BTreeMap<MachineIx, Held> = BTreeMap::new();
+        let mut homeless = Vec::new();
+        for (Reverse(rank), _, ix) in gangs {
             let Some(job) = self.jobs.get(ix) else { continue };
             match GangState::of(job) {
-                GangState::Idle => {
-                    if !self.start_gang(ix) {
-                        self.plan_gang(ix);
-                    }
-                }
+                GangState::Idle if self.start_gang(ix) => self.hold_planned(ix, rank, &mut held),
+                GangState::Idle => homeless.push((rank, ix)),
                 GangState::Broken => self.break_gang(ix),
                 GangState::Together | GangState::Unproven => {}
             }
         }
+        for (rank, ix) in homeless {
+            match self.plan_gang(ix, rank, &held) {
+                Plan::Made => self.hold_planned(ix, rank, &mut held),
+                Plan::Short(places) if self.gathers(ix) => {
+                    let Some(need) = self.jobs.get(ix).map(|j| j.room()) else { continue };
+                    places.into_iter().for_each(|m| Held::add(&mut held, m, rank, &need));
+                }
+                Plan::Short(_) | Plan::Later => {}
+            }
+        }
+        self.held = held;
+    }
+
+    /// Holds the places that a gang was planned to start on.
+    fn hold_planned(&self, ix: JobIx, rank: Rank, held: &mut BTreeMap<MachineIx, Held>) {
+        let Some(job) = self.jobs.get(ix) else { return };
+        for (_, t) in job.tasks().filter(|(_, t)| t.state == TaskState::Waiting) {
+            t.probes.iter().for_each(|p| Held::add(held, p.machine, rank, &job.room()));
+        }
+    }
+
+    /// Whether room is gathered for a gang that has found too little: once it has waited for a
+    /// part of what its class may wait, for as long as a gang waits for its members at most, and
+    /// then not for as long, so that what it lacks does not keep the rest idle for ever.
+    fn gathers(&self, ix: JobIx) -> bool {
+        let Some(job) = self.jobs.get(ix) else { return false };
+        let gang_ms = (self.cfg.platform.params.workers.gang_wait_s * 1000.0) as u64;
+        let may_ms = self.may_wait_s(&job.spec.class).map_or(gang_ms, |s| (s * 1000.0) as u64);
+        let waited = self.now.wall_ms.saturating_sub(job.ready_ms);
+        let from = may_ms / GATHER_PART;
+        waited >= from && ((waited - from) / gang_ms.max(1)).is_multiple_of(2)
     }
 
     /// The whole gang fits a set of machines, or is not dealt at all.
-    fn plan_gang(&mut self, ix: JobIx) {
+    fn plan_gang(&mut self, ix: JobIx, rank: Rank, held: &BTreeMap<MachineIx, Held>) -> Plan {
         let now = self.now.steady_ms;
-        let Some(job) = self.jobs.get(ix) else { return };
+        let Some(job) = self.jobs.get(ix) else { return Plan::Later };
         if job.chunks.values().any(|c| c.busy || c.dirty)
             || job.tasks().any(|(_, t)| t.not_before_ms > now)
         {
-            return;
+            return Plan::Later;
         }
         let (need, tasks, together) = (job.room(), job.spec.tasks, job.spec.together);
         let spread = job.spec.spread;
@@ -82,7 +147,7 @@
         let mut all = Room::default();
         all.add(&need, f64::from(tasks - dealt));
         if !self.licence(job.team, &all) {
-            return;
+            return Plan::Later;
         }
         let zones = self.cfg.platform.params.zones.len() as u16;
         let mut rooms: Vec<(MachineIx, Option<u16>, u32)> = Vec::new();
@@ -93,7 +158,10 @@
             {
                 continue;
             }
-            rooms.push((mix, m.zone, self.free_room(m).holds(&need)));
+            let kept = held.get(&mix).filter(|h| h.rank >= rank);
+            let free = self.free_room(m);
+            let free = kept.map_or(free, |h| free.minus(&h.room));
+            rooms.push((mix, m.zone, free.holds(&need)));
         }
         rooms.sort_by_key(|(_, _, holds)| std::cmp::Reverse(*holds));
         if together {
@@ -102,7 +170,7 @@
             };
             let Some(best) = (0..zones).filter(|z| room(*z) >= tasks).max_by_key(|z| room(*z))
             else {
-                return;
+                return Plan::Short(Vec::new());
             };
             rooms.retain(|(_, z, _)| *z == Some(best));
         }
@@ -116,10 +184,10 @@
             places.extend((0..n).map(|_| (mix, zone)));
         }
         if (places.len() as u32) < tasks {
-            return;
+            return Plan::Short(places.into_iter().map(|(m, _)| m).collect());
         }
         for chunk in 0..tasks.div_ceil(CHUNK) {
-            let Some(job) = self.jobs.get(ix) else { return };
+            let Some(job) = self.jobs.get(ix) else { return Plan::Later };
             if !job.chunks.contains_key(&chunk) {
                 let len = job.chunk_len(chunk);
                 let fresh = self.new_chunk(len);
@@ -139,6 +207,7 @@
             self.task_to(key, TaskState::Waiting);
             self.mark_dirty(ix, n as u32 / CHUNK);
         }
+        Plan::Made
     }
 
     /// Starts a gang whose places are on record and still free. False if it has to
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -104,6 +104,8 @@
     pub used: Room,
     /// What of it each priority uses and would give up, the lowest first.
     pub yields: [Room; 4],
+    /// What services of each priority use, which don't end by themselves, as of this round.
+    pub lasting: [Room; 4],
     pub idle_since_ms: u64,
     /// Starts bound here and not sent yet.
     pub outbox: Vec<(TaskKey, u64)>,
@@ -156,6 +158,13 @@
         all
     }
 
+    /// Room that services hold against work of this priority for as long as they run.
+    pub fn held_for_good(&self, rank: Rank) -> Room {
+        let mut all = Room::default();
+        self.lasting[rank as usize..].iter().for_each(|room| all.add(room, 1.0));
+        all
+    }
+
     pub fn usable(&self) -> bool {
         self.state == MachineState::Ready
             && !self.quarantined
@@ -257,6 +266,7 @@
             unproven: Vec::new(),
             used: Room::default(),
             yields: Default::default(),
+            lasting: Default::default(),
             idle_since_ms: now,
             outbox: Vec::new(),
             cut: false,
--- a/crates/core/tests/stories/main.rs
+++ b/crates/core/tests/stories/main.rs
@@ -4,6 +4,7 @@
 mod chains;
 mod hearing;
 mod inline;
+mod largest;
 mod pages;
 mod restarts;
 mod rolls;
