Scarce GPUs keep the room that their tasks need beside them

While demand for GPUs is half of their supply or more, work that needs none leaves room for the largest task that does beside each free GPU, is placed elsewhere first (production) or only (all else), and hires no machine with GPUs. What is left beside a GPU task is used as before.

--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -386,7 +386,9 @@
     }
 
     fn may_place(&self, spec: &JobSpec, place: &Place) -> bool {
-        self.allows(spec, &place.kind, place.zone, place.spot)
+        let gpus = |kind: &str| self.capacity_of(kind).is_some_and(|c| c.gpus > 0.0);
+        let misused = spec.gpus <= 0.0 && self.ratios.gpus_scarce() && gpus(&place.kind);
+        !misused && self.allows(spec, &place.kind, place.zone, place.spot)
     }
 
     /// Tasks that wait and have no room now, after what is coming up already.
@@ -553,7 +555,9 @@
             for t in &self.types {
                 let all = Room { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb };
                 let holds = all.holds(&need);
-                if holds == 0 {
+                // Scarce GPUs are not hired for work that needs none.
+                let misused = t.gpus > 0.0 && need.gpus <= 0.0 && self.ratios.gpus_scarce();
+                if holds == 0 || misused {
                     continue;
                 }
                 for (z, name) in zones.iter().enumerate() {
--- a/crates/core/src/deal.rs
+++ b/crates/core/src/deal.rs
@@ -9,6 +9,7 @@
 
 use crate::controller::Controller;
 use crate::field::Field;
+use crate::gang::Held;
 use crate::ids::{JobIx, MachineIx, TaskKey};
 use crate::jobs::{Job, JobState, Probe, Task, TaskState};
 use crate::machines::{Machine, Room};
@@ -63,11 +64,21 @@
         self.capacity_of(&m.kind).map_or(Room::default(), |c| c.minus(&m.used))
     }
 
-    /// Room of a machine for work of this priority: what is held for gangs that are no less
-    /// urgent is not for others.
-    pub(crate) fn room_for(&self, ix: MachineIx, m: &Machine, rank: Rank) -> Room {
-        let free = self.free_room(m);
-        self.held.get(&ix).filter(|h| h.rank >= rank).map_or(free, |h| free.minus(&h.room))
+    /// Room of a machine for a job: what is held for gangs that are no less urgent is not for
+    /// others.
+    pub(crate) fn room_for(&self, ix: MachineIx, m: &Machine, job: &Job) -> Room {
+        self.less_held(self.free_room(m), self.held.get(&ix), job)
+    }
+
+    /// What of a machine's free room is a job's to use.
+    pub(crate) fn less_held(&self, free: Room, held: Option<&Held>, job: &Job) -> Room {
+        let mut room = free;
+        if let Some(h) = held.filter(|h| h.rank >= job.rank) {
+            room = room.minus(&h.room);
+        } else if job.spec.gpus <= 0.0 && job.rank < Rank::Production {
+            room = room.minus(&self.beside_gpus(&free));
+        }
+        room
     }
 
     /// Type, zone and kind of machine that a job allows.
@@ -412,8 +423,8 @@
         for p in &task.probes {
             let Some(m) = self.machines.get(p.machine).filter(|m| m.usable()) else { continue };
             live |= self.may_come_free(m, job.rank, &need);
-            has_room |= self.room_for(p.machine, m, job.rank).fits(&need)
-                && !job.errors_on.contains(&p.machine);
+            has_room |=
+                self.room_for(p.machine, m, job).fits(&need) && !job.errors_on.contains(&p.machine);
         }
         let elsewhere = |ix: &MachineIx| !task.probes.iter().any(|p| p.machine == *ix);
         has_room || live && !room.iter().any(elsewhere)
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -17,6 +17,8 @@
 pub(crate) struct Ratios {
     by_constraint: BTreeMap<Constraint, f64>,
     max: f64,
+    /// What a task of those that need GPUs takes at most of a machine, while GPUs are scarce.
+    gpu_task: Option<Room>,
 }
 
 impl Ratios {
@@ -24,6 +26,10 @@
         self.max
     }
 
+    pub fn gpus_scarce(&self) -> bool {
+        self.gpu_task.is_some()
+    }
+
     pub fn named(&self) -> Vec<(String, f64)> {
         self.by_constraint.iter().map(|(c, ratio)| (c.to_string(), *ratio)).collect()
     }
@@ -53,6 +59,8 @@
     Ordinary,
 }
 
+/// Demand of GPUs beside their supply from which on they are scarce.
+const SCARCE: f64 = 0.5;
 /// Waiting tasks that others may be stopped for in one go.
 const ASK_AT_ONCE: usize = 1_024;
 
@@ -110,7 +118,9 @@
             })
             .collect();
         let max = by_constraint.values().copied().fold(0.0, f64::max);
-        self.ratios = Ratios { by_constraint, max };
+        let scarce = by_constraint.get(&Constraint::Gpu).is_some_and(|r| *r >= SCARCE);
+        let gpu_task = self.largest_gpu_task().filter(|_| scarce);
+        self.ratios = Ratios { by_constraint, max, gpu_task };
         for ix in self.jobs.indexes() {
             let Some(job) = self.jobs.get(ix) else { continue };
             let (ratio, lost) = (self.ratio_of(&job.spec), self.lost_deadlines(job));
@@ -127,6 +137,26 @@
         }
     }
 
+    fn largest_gpu_task(&self) -> Option<Room> {
+        let live = self.jobs.iter().filter(|(_, j)| j.state == JobState::Live);
+        let rooms = live.filter(|(_, j)| j.spec.gpus > 0.0).map(|(_, j)| j.room());
+        rooms.reduce(|a, b| Room {
+            cpus: a.cpus.max(b.cpus),
+            gpus: a.gpus.max(b.gpus),
+            memory_gb: a.memory_gb.max(b.memory_gb),
+        })
+    }
+
+    /// Room that a machine's free GPUs need beside them, while they are scarce: it is not for
+    /// work that needs none and would fit elsewhere.
+    pub(crate) fn beside_gpus(&self, free: &Room) -> Room {
+        let mut room = Room::default();
+        if let Some(task) = self.ratios.gpu_task {
+            room.add(&task, ((free.gpus + 1e-6) / task.gpus).max(0.0).floor());
+        }
+        room
+    }
+
     /// How many of the deadlines that its class has aims for the job can't meet any
     /// more, if what it waits for runs as long as its owner estimates.
     fn lost_deadlines(&self, job: &Job) -> u8 {
@@ -222,10 +252,8 @@
             }
             let held = self.held.get(&ix);
             let fits = |k: &TaskKey| {
-                self.jobs.get(k.job).is_some_and(|j| {
-                    let kept = held.filter(|h| h.rank >= j.rank);
-                    kept.map_or(free, |h| free.minus(&h.room)).fits(&j.room())
-                })
+                let job = self.jobs.get(k.job);
+                job.is_some_and(|j| self.less_held(free, held, j).fits(&j.room()))
             };
             if !m.queue.iter().any(fits) {
                 return;
@@ -313,7 +341,7 @@
             self.machines.get(*other).is_some_and(|m| {
                 m.takes_work(self.now.steady_ms)
                     && m.images.contains(&job.image)
-                    && self.room_for(*other, m, job.rank).fits(&need)
+                    && self.room_for(*other, m, job).fits(&need)
             })
         })
     }
--- a/crates/core/src/field.rs
+++ b/crates/core/src/field.rs
@@ -11,11 +11,13 @@
 
 use ordered_float::OrderedFloat;
 use quartzgate_wire::msg::{JobSpec, Rank};
+
 use rand::Rng;
 
 use crate::budget::Budget;
 use crate::controller::Controller;
 use crate::ids::{JobIx, MachineIx};
+use crate::jobs::Job;
 use crate::machines::{Machine, Room};
 use crate::LoadState;
 
@@ -70,6 +72,8 @@
     /// Fetching the image would take longer than the job's class may wait.
     late: bool,
     spot: bool,
+    /// It has GPUs, which are scarce, and the job needs none.
+    scarce: bool,
     used_share: f64,
     queued: usize,
     /// Tasks that were picked for it since, by weight.
@@ -198,6 +202,7 @@
             };
             // Ordinary room is dear: for what may do without, a short fetch is cheaper.
             score += if self.spot && !c.spot { 2.0 } else { 0.0 };
+            score += if c.scarce { 2.5 } else { 0.0 };
             score += 0.4 * (1.0 - c.used_share);
         } else if self.yields(core, c) {
             score += 3.0 + if c.image { 0.0 } else { 2.0 };
@@ -240,6 +245,7 @@
         (field.need, field.spot) = (job.room(), job.spec.spot);
         let kinds = self.kinds_for(&job.spec);
         let want = self.zone_wanted(&job.spec);
+        let gpus_scarce = self.ratios.gpus_scarce() && job.spec.gpus <= 0.0;
         for (mix, m) in self.machines.iter().filter(|(_, m)| m.usable()) {
             let kind = kinds.iter().find(|k| k.name == m.kind);
             let allowed = (job.spec.spot || !m.spot) && want.is_none_or(|z| m.zone == z);
@@ -248,7 +254,7 @@
             if !kind.all.minus(&m.held_for_good(job.rank)).fits(&field.need) {
                 continue;
             }
-            let (free, spare) = self.spare_room(mix, m, &kind.all, &field.need, job.rank);
+            let (free, spare) = self.spare_room(mix, m, &kind.all, &field.need, Some(job));
             let image = m.images.contains(&job.image);
             field.list.push(Candidate {
                 ix: mix,
@@ -259,6 +265,7 @@
                 wait_s: m.wait_s,
                 image,
                 spot: m.spot,
+                scarce: kind.all.gpus > 0.0 && gpus_scarce,
                 used_share: m.used.cpus / kind.all.cpus.max(1e-9),
                 queued: m.queue.len(),
                 taken: 0.0,
@@ -289,14 +296,16 @@
         m: &Machine,
         all: &Room,
         need: &Room,
-        rank: Rank,
+        job: Option<&Job>,
     ) -> (Room, Room) {
         if !m.takes_work(self.now.steady_ms) {
             return (Room::default(), Room::default());
         }
         let mut free = all.minus(&m.used);
-        if let Some(held) = self.held.get(&ix).filter(|h| h.rank >= rank) {
-            free = free.minus(&held.room);
+        match (job, self.held.get(&ix)) {
+            (Some(job), held) => free = self.less_held(free, held, job),
+            (None, Some(held)) => free = free.minus(&held.room),
+            (None, None) => {}
         }
         let mut spare = free;
         for key in &m.queue {
@@ -342,7 +351,7 @@
         let mut roomy = Roomy::default();
         for (ix, m) in self.machines.iter().filter(|(_, m)| m.usable()) {
             let Some(all) = self.capacity_of(&m.kind) else { continue };
-            let (_, spare) = self.spare_room(ix, m, &all, &least, Rank::Low);
+            let (_, spare) = self.spare_room(ix, m, &all, &least, None);
             if !spare.fits(&least) {
                 continue;
             }
@@ -351,7 +360,11 @@
             most.cpus = most.cpus.max(spare.cpus);
             most.gpus = most.gpus.max(spare.gpus);
             most.memory_gb = most.memory_gb.max(spare.memory_gb);
-            machines.push((ix, spare));
+            let mut beside = spare;
+            if spare.gpus > 0.0 {
+                beside = spare.minus(&self.beside_gpus(&spare));
+            }
+            machines.push(Spare { ix, room: spare, beside });
         }
         roomy
     }
@@ -360,14 +373,17 @@
     pub(crate) fn roomy_for(&mut self, roomy: &Roomy, ix: JobIx, count: usize) -> Vec<MachineIx> {
         let Some(job) = self.jobs.get(ix) else { return Vec::new() };
         let (need, mut looked, mut out) = (job.room(), roomy.groups.len(), Vec::new());
+        // What scarce GPUs need beside them is not for what needs none.
+        let plain = need.gpus <= 0.0 && job.rank < Rank::Production;
         for ((kind, zone, spot), (most, machines)) in &roomy.groups {
             if !most.fits(&need) || !self.allows(&job.spec, kind, *zone, *spot) {
                 continue;
             }
-            for (at, spare) in machines {
+            for spare in machines {
                 looked += 1;
-                if spare.fits(&need) {
-                    out.push(*at);
+                let room = if plain { &spare.beside } else { &spare.room };
+                if room.fits(&need) {
+                    out.push(spare.ix);
                 }
                 if out.len() >= count {
                     break;
@@ -384,7 +400,15 @@
 /// Machines with unspoken room by type, zone and kind, with the most that any of a group has.
 #[derive(Default)]
 pub(crate) struct Roomy {
-    groups: BTreeMap<Group, (Room, Vec<(MachineIx, Room)>)>,
+    groups: BTreeMap<Group, (Room, Vec<Spare>)>,
+}
+
+/// Unspoken room of a machine.
+struct Spare {
+    ix: MachineIx,
+    room: Room,
+    /// What of it is left beside what scarce GPUs need.
+    beside: Room,
 }
 
 /// Type, zone and kind of a machine.
