--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -185,6 +185,8 @@
     /// Reads of records that failed and are tried again.
     pub(crate) store_retry: Vec<FlushItem>,
     pub(crate) inbox_again: Vec<String>,
+    /// Reports whose workers were sent elsewhere.
+    pub(crate) let_go: u64,
     /// Room that is kept for gangs, by machine.
     pub(crate) held: BTreeMap<MachineIx, Held>,
     /// Late copies of reports that were dropped.
@@ -250,6 +252,7 @@
             second_at_ms: 0,
             store_retry: Vec::new(),
             inbox_again: Vec::new(),
+            let_go: 0,
             held: BTreeMap::new(),
             copies_dropped: 0,
         }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -326,6 +326,7 @@
     ) -> Job {
         let ratio = self.ratio_of(&spec);
         let rank = spec.rank;
+        tracing::debug!(job = %spec.id, class = %spec.class, tasks = spec.tasks, "known");
         let mut job = Job {
             id: spec.id.clone(),
             image: ImageKey::of(&spec.image),
--- a/crates/core/src/latency.rs
+++ b/crates/core/src/latency.rs
@@ -58,6 +58,12 @@
         }
     }
 
+    /// How long the oldest request of a user has waited for its answer.
+    pub fn oldest_ms(&self, now_ms: u64) -> u64 {
+        let oldest = self.open.values().map(|(_, since)| *since).min();
+        oldest.map_or(0, |since| now_ms.saturating_sub(since))
+    }
+
     pub fn end(&mut self, id: RequestId, now_ms: u64) {
         if let Some((span, since)) = self.open.remove(&id) {
             self.note(span, now_ms.saturating_sub(since));
@@ -71,6 +77,10 @@
         let Some(job) = self.jobs.get(key.job) else { return };
         let waited_ms = self.now.wall_ms.saturating_sub(job.ready_ms);
         let first = job.on == 1 && job.done == 0;
+        if first {
+            let (class, tasks) = (&job.spec.class, job.spec.tasks);
+            tracing::debug!(job = %job.id, %class, tasks, waited_ms, "begun");
+        }
         let chained = first && !job.spec.dependencies.is_empty();
         if chained {
             self.latencies.note(Span::ChainStart, waited_ms);
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -488,6 +488,7 @@
     /// Sends a worker to the controller that owns its machine. A leader that we don't
     /// hear is no use to name: the worker looks round itself.
     pub(crate) fn redirect(&mut self, id: RequestId) {
+        self.let_go += 1;
         let owner = self.leader_sibling().and(self.known_leader());
         self.answer(id, Response::new(421, to_cbor(&Redirect { owner })));
     }
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -81,6 +81,17 @@
         put("machines_deaf", f64::from(deaf));
         put("machines_doubted", f64::from(doubted));
         put("copies_dropped", self.copies_dropped as f64);
+        put("workers_let_go", self.let_go as f64);
+        put("question_oldest_s", self.latencies.oldest_ms(now) as f64 / 1000.0);
+        let mut not_begun: BTreeMap<&str, u64> = BTreeMap::new();
+        let live = self.jobs.iter().filter(|(_, j)| j.state == JobState::Live);
+        for (_, j) in live.filter(|(_, j)| j.on == 0 && j.done == 0) {
+            let oldest = not_begun.entry(&j.spec.class).or_default();
+            *oldest = (*oldest).max(self.now.wall_ms.saturating_sub(j.ready_ms));
+        }
+        for (class, ms) in not_begun {
+            put(&format!("not_begun_oldest_s.{class}"), ms as f64 / 1000.0);
+        }
         put("machines_expected", self.cloud.expected() as f64);
         put("probes_queued", queued as f64);
         put("queue_longest", longest as f64);
--- a/crates/scale/src/days.rs
+++ b/crates/scale/src/days.rs
@@ -97,6 +97,42 @@
         days
     }
 
+    /// Ends within an election, and controllers that lose some of those they talk to.
+    fn cuts(&self) -> Vec<(String, Vec<InlineTable>)> {
+        let from = self.lasts * 0.3;
+        let ends = |counts: &[i64]| -> Vec<InlineTable> {
+            let at = |n: usize| from + 0.7 * n as f64;
+            counts.iter().enumerate().map(|(n, count)| crash(at(n), *count)).collect()
+        };
+        let cut = |count: i64, how: &str, mode: &str| {
+            let more = [
+                ("count", count.into()),
+                ("busiest", true.into()),
+                (how, true.into()),
+                ("mode", mode.into()),
+            ];
+            lasting(from, "node_cut", 60.0, &more)
+        };
+        let apart = || lasting(from, "peers_refuse", 60.0, &[]);
+        let few = (self.nodes / 2).max(1);
+        vec![
+            ("ends-in-election-1".to_string(), ends(&[1; 12])),
+            ("ends-in-election-2".into(), ends(&[2, 2, 1, 2, 2, 1])),
+            ("ends-in-election-all".into(), ends(&[self.nodes, 1, self.nodes, 2, self.nodes])),
+            ("only-workers-left".into(), vec![cut(1, "from_state", "hold"), apart()]),
+            ("only-workers-left-few".into(), vec![cut(few, "from_state", "refuse"), apart()]),
+            ("workers-lost".into(), vec![cut(1, "from_workers", "hold"), crash(from + 20.0, 1)]),
+            (
+                "hangs".into(),
+                vec![
+                    lasting(from, "machine_hang", 15.0, &[("count", 20.into())]),
+                    crash(from + 5.0, 1),
+                    lasting(from + 40.0, "machine_hang", 40.0, &[("count", 20.into())]),
+                ],
+            ),
+        ]
+    }
+
     /// Floods of each class, and of each two, with an end of the busiest in them.
     fn floods(&self) -> Vec<(String, Vec<InlineTable>)> {
         let end = || crash(self.lasts * (BEGINS + FLOOD / 2.0), 1);
@@ -106,6 +142,9 @@
                 let faults = vec![self.burst(class, factor), end()];
                 days.push((format!("flood-{class}-x{factor}"), faults));
             }
+            let wave = [("share", 0.4.into()), ("notice_s", 12.0.into()), ("over_s", 20.0.into())];
+            let wave = fault(self.lasts * (BEGINS + FLOOD / 2.0), "spot_taken", &wave);
+            days.push((format!("wave-{class}"), vec![self.burst(class, 5.0), wave]));
             for other in &self.classes[at + 1..] {
                 let faults = vec![self.burst(class, 8.0), self.burst(other, 8.0), end()];
                 days.push((format!("flood-{class}-{other}"), faults));
@@ -171,7 +210,7 @@
 pub fn replace(doc: &mut DocumentMut) -> Result<(), SiteError> {
     let site = Site::read(doc)?;
     let mut days = ArrayOfTables::new();
-    let with_faults = site.restarts().into_iter().chain(site.floods());
+    let with_faults = site.restarts().into_iter().chain(site.cuts()).chain(site.floods());
     with_faults.for_each(|(name, faults)| days.push(table(&name, faults)));
     GUESTS.iter().for_each(|rate| days.push(site.swarm("guests", *rate, None)));
     if let Some(team) = site.teams.last() {
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -47,9 +47,12 @@
     Served {
         #[arg(required = true)]
         reports: Vec<PathBuf>,
-        /// The share (0 to 1) that every class and team is to reach.
-        #[arg(long, default_value_t = 0.5)]
-        least: f64,
+        /// What the controllers wrote on each of these days, at LOG_LEVEL=debug: with it the
+        /// share of each class's largest tenth is told as well.
+        #[arg(long, value_delimiter = ',')]
+        logs: Vec<PathBuf>,
+        #[command(flatten)]
+        bar: served::Least,
         /// All classes and teams, not the least served of each day only.
         #[arg(long)]
         all: bool,
@@ -116,7 +119,7 @@
             let text = std::fs::read_to_string(&table).map_err(|e| named(e.to_string()))?;
             plot::plot(&text, &out).map_err(|e| named(e.to_string()))?;
         }
-        Command::Served { reports, least, all } => served::tell(&reports, least, all)?,
+        Command::Served { reports, logs, bar, all } => served::tell(&reports, &logs, bar, all)?,
         Command::Multiply { site, growth, out } => {
             let named = |e| format!("{}: {e}", site.display());
             let text = std::fs::read_to_string(&site).map_err(|e| named(e.to_string()))?;
@@ -132,7 +135,8 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("qg-scale: {e}");
-            ExitCode::FAILURE
+            let served = e.downcast_ref::<served::ServedError>();
+            served.map_or(ExitCode::FAILURE, |e| e.exit_code().into())
         }
     }
 }
