--- a/crates/core/src/cloud.rs
+++ b/crates/core/src/cloud.rs
@@ -386,9 +386,14 @@
     }
 
     fn may_place(&self, spec: &JobSpec, place: &Place) -> bool {
-        let gpus = |kind: &str| self.capacity_of(kind).is_some_and(|c| c.gpus > 0.0);
-        let misused = spec.gpus <= 0.0 && self.ratios.gpus_scarce() && gpus(&place.kind);
-        !misused && self.allows(spec, &place.kind, place.zone, place.spot)
+        let all = self.capacity_of(&place.kind);
+        !all.is_some_and(|all| self.misuses_gpus(spec, &all))
+            && self.allows(spec, &place.kind, place.zone, place.spot)
+    }
+
+    /// Scarce GPUs are neither hired nor counted on for work that needs none.
+    fn misuses_gpus(&self, spec: &JobSpec, all: &Room) -> bool {
+        all.gpus > 0.0 && spec.gpus <= 0.0 && self.ratios.gpus_scarce()
     }
 
     /// Tasks that wait and have no room now, after what is coming up already.
@@ -555,9 +560,7 @@
             for t in &self.types {
                 let all = Room { cpus: t.cpus, gpus: t.gpus, memory_gb: t.memory_gb };
                 let holds = all.holds(&need);
-                // Scarce GPUs are not hired for work that needs none.
-                let misused = t.gpus > 0.0 && need.gpus <= 0.0 && self.ratios.gpus_scarce();
-                if holds == 0 || misused {
+                if holds == 0 || self.misuses_gpus(&u.spec, &all) {
                     continue;
                 }
                 for (z, name) in zones.iter().enumerate() {
