A leader that reads the records answers only for jobs that it has read

Cause: a new leader answered reports from its election on, for a whole horizon, while it read the records.

Ruled out: a shorter horizon for heirs (the confirmation may be as old as cancel_s); stopping what is not read (would end work that nobody cancelled at each takeover).

Change: while it reads, a leader holds reports of machines that run what it has not read, for as long as a report may wait; the holding of reports after a pause does both.

--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -286,6 +286,7 @@
     fn on_tick(&mut self) {
         self.tick_member();
         self.settle_doubt();
+        self.retry_held();
         self.tick_format();
         self.tick_types();
         self.tick_keeper();
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -16,6 +16,7 @@
 use crate::controller::{Controller, Pending};
 use crate::ids::{epoch_of, in_epoch, parse_task, task_name, ImageKey, JobIx, MachineIx, TaskKey};
 use crate::jobs::{JobState, TaskState};
+use crate::member::Role;
 use crate::post::Letter;
 use crate::{Outcome, Peer, RequestId};
 
@@ -368,7 +369,7 @@
             tracing::info!(machine = %report.machine, "superseded: a worker has seen a later epoch");
             self.superseded();
         }
-        if self.in_doubt() {
+        if self.in_doubt() || self.has_to_read(&report) {
             return self.hold_report(id, body, relayer);
         }
         if !self.commands_workers() {
@@ -415,6 +416,15 @@
         self.answer(id, Response::new(200, body));
     }
 
+    /// A leader that reads the records answers for a machine once it has read every job that runs
+    /// there: what it has not read may have been cancelled long before it took the lead.
+    fn has_to_read(&self, report: &Report) -> bool {
+        let unread = |job: &str| self.jobs.find(job).is_none() && self.finals.get(job).is_none();
+        let mut running = report.tasks.iter().filter(|t| t.status != TaskStatus::Exited);
+        self.member.role == Role::Restoring
+            && running.any(|t| parse_task(&t.task).is_some_and(|(job, _)| unread(job)))
+    }
+
     /// A worker is best served by a controller of its own zone: should the zones part,
     /// that one keeps it. Said only to workers whose lease is fresh.
     fn nearer(&self, report: &Report) -> Option<String> {
--- a/crates/core/src/pause.rs
+++ b/crates/core/src/pause.rs
@@ -22,16 +22,24 @@
     /// When it last woke, and how often it has.
     pub woke_ms: u64,
     pub noticed: u64,
-    /// Reports that came meanwhile, and the sibling that passed them on.
-    reports: Vec<(RequestId, Vec<u8>, Option<usize>)>,
+    held: Vec<HeldReport>,
 }
 
-/// Reports that may wait for the doubt to end.
-const REPORTS_MOST: usize = 1_000;
+/// A report that can't be answered before more is known: who leads, or what the records say.
+struct HeldReport {
+    request: RequestId,
+    body: Vec<u8>,
+    /// The sibling that passed it on.
+    relayer: Option<usize>,
+    until_ms: u64,
+}
+
+/// Reports that may be held at a time.
+const HELD_MOST: usize = 2_000;
 
 impl Pause {
     pub fn new() -> Self {
-        Pause { waking: Waking::Awake, woke_ms: 0, noticed: 0, reports: Vec::new() }
+        Pause { waking: Waking::Awake, woke_ms: 0, noticed: 0, held: Vec::new() }
     }
 }
 
@@ -43,9 +51,7 @@
         }
         if waking == Waking::Awake {
             self.needs_orders.extend(self.machines.indexes());
-            for (id, body, relayer) in std::mem::take(&mut self.pause.reports) {
-                self.on_checkin(id, body, relayer);
-            }
+            self.retry_held();
         }
     }
 
@@ -65,11 +71,37 @@
         self.pause.waking == Waking::Doubtful
     }
 
-    /// A report that can't be answered before it is known who leads.
-    pub(crate) fn hold_report(&mut self, id: RequestId, body: Vec<u8>, relayer: Option<usize>) {
-        match self.pause.reports.len() < REPORTS_MOST {
-            true => self.pause.reports.push((id, body, relayer)),
-            false => self.redirect(id),
+    pub(crate) fn hold_report(
+        &mut self,
+        request: RequestId,
+        body: Vec<u8>,
+        relayer: Option<usize>,
+    ) {
+        let until_ms = self.now.steady_ms + self.cfg.park_ms();
+        match self.pause.held.len() < HELD_MOST {
+            true => self.pause.held.push(HeldReport { request, body, relayer, until_ms }),
+            false => self.redirect(request),
+        }
+    }
+
+    /// Answers held reports that can be answered now; a worker that has waited for long enough
+    /// looks elsewhere, while its lease still has time.
+    pub(crate) fn retry_held(&mut self) {
+        if self.in_doubt() {
+            return;
+        }
+        let now = self.now.steady_ms;
+        for report in std::mem::take(&mut self.pause.held) {
+            if now >= report.until_ms {
+                self.redirect(report.request);
+                continue;
+            }
+            let held = self.pause.held.len();
+            self.on_checkin(report.request, report.body, report.relayer);
+            // It waits on for as long as it might at first.
+            if let Some(again) = self.pause.held.get_mut(held) {
+                again.until_ms = report.until_ms;
+            }
         }
     }
 
