An abort whose record may stand late is carried through, its tasks stopped at once

Cause: the leader's own abort leaves no note for its own watch. If its write got no answer, was read as not executed and came to stand later, the leader took the job for live until it read it again, while any other controller that read the record told its user. If the leader then lost the state service, its horizon counted from after that confirmation: tasks of the job were still being started past cancel_s. Jobs whose share stands in their own record were safe: the share's next write moves the stamp.

Change: Aborting (the write is under way) and Doubtful (it may stand, now or later) are two states. In Doubtful the tasks are stopped, since whoever has asked to cancel needs none of them, and the abort is recorded again until it is known to stand: whichever write comes first, the other meets its stamp.

The world counts ran_cancelled to the millisecond from the first confirmation, lets clocks differ by 0.05%, carries out transactions late and answers slowly.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -592,19 +592,29 @@
 
     /// The leader aborts a job that it knows.
     fn abort(&mut self, id: RequestId, ix: JobIx) {
-        let now = self.now.steady_ms;
         let Some(job) = self.jobs.get(ix) else { return self.answer_busy(id) };
         // While its record is being written or looked at, an abort can't be decided.
         if job.busy || !matches!(job.state, JobState::Live | JobState::Waiting) {
             return self.answer_busy(id);
         }
+        if !self.write_abort(Some(id), ix) {
+            self.answer_busy(id)
+        }
+    }
+
+    /// Records that a job is cancelled; false if that has to wait.
+    pub(crate) fn write_abort(&mut self, request: Option<RequestId>, ix: JobIx) -> bool {
+        let now = self.now.steady_ms;
+        let Some(job) = self.jobs.get(ix) else { return false };
+        let inline = job.chunks.get(&0).is_some_and(|c| c.inline);
         if !self.store.writes.take(now, 1.0, 0.0) {
-            return self.answer_busy(id);
+            return false;
         }
         self.store.note(Purpose::Abort, 1);
-        let inline = job.chunks.get(&0).is_some_and(|c| c.inline);
-        self.job_to(ix, JobState::Doubtful);
-        let Some(job) = self.jobs.get(ix) else { return self.answer_busy(id) };
+        if job.state != JobState::Doubtful {
+            self.job_to(ix, JobState::Aborting);
+        }
+        let Some(job) = self.jobs.get(ix) else { return false };
         let (stamp, job_id) = (job.stamp, job.id.clone());
         let record = self.own_record(job);
         let view = Guard { path: crate::records::VIEW.into(), stamp: self.member.view_stamp };
@@ -628,22 +638,24 @@
         }
         let body = to_cbor(&Transaction { guards, apply });
         let epoch = self.epoch();
-        let pending = Pending::AbortWrite { request: id, job: ix, placed, epoch };
+        let pending = Pending::AbortWrite { request, job: ix, placed, epoch };
         self.state_call("POST", "/multi".into(), body, pending);
+        true
     }
 
     pub(crate) fn on_abort_write(
         &mut self,
-        id: RequestId,
+        request: Option<RequestId>,
         ix: JobIx,
         placed: Placed,
         outcome: Outcome,
     ) {
         let share = FlushItem::Chunk { job: ix, chunk: 0, placed };
+        let unknown = self.jobs.get(ix).is_some_and(|j| j.state == JobState::Doubtful);
         if let Outcome::Answer(r) = &outcome {
             if let (200, Ok(done)) = (r.status, from_cbor::<TransactionAnswer>(&r.body)) {
                 self.state_answered();
-                let Some(job) = self.jobs.get_mut(ix) else { return self.answer_busy(id) };
+                let Some(job) = self.jobs.get_mut(ix) else { return self.not_cancelled(request) };
                 (job.busy, job.stamp) = (false, done.ledger_rev);
                 let job_id = job.id.clone();
                 if placed.own {
@@ -651,9 +663,12 @@
                 }
                 self.job_to(ix, JobState::Aborted);
                 self.store.touch_job(ix);
-                return self.answer_final(id, &job_id, RecordedStatus::Aborted);
+                if let Some(id) = request {
+                    self.answer_final(id, &job_id, RecordedStatus::Aborted);
+                }
+                return;
             }
-            if r.status != 409 {
+            if r.status != 409 && !unknown {
                 // Not executed: the job goes on, and the user asks again.
                 if r.status != 503 && r.status != 429 {
                     tracing::error!(status = r.status, "an abort was refused by the state service");
@@ -666,17 +681,26 @@
                 if placed.own {
                     self.unwritten(share);
                 }
-                return self.answer_busy(id);
+                return self.not_cancelled(request);
             }
         }
         // Perhaps executed, or the record has changed: it is read before anything else.
-        self.answer_busy(id);
+        self.not_cancelled(request);
+        if !matches!(&outcome, Outcome::Answer(r) if r.status == 409) {
+            self.job_to(ix, JobState::Doubtful);
+        }
         match placed.own {
             true => self.restamp(share),
             false => self.restamp_job(ix),
         }
     }
 
+    fn not_cancelled(&mut self, request: Option<RequestId>) {
+        if let Some(id) = request {
+            self.answer_busy(id)
+        }
+    }
+
     /// An abort of a job that the leader does not know, or without a leader.
     pub(crate) fn on_abort_read(&mut self, id: RequestId, job: String, outcome: Outcome) {
         let pair = match self.read_outcome(outcome) {
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -56,7 +56,7 @@
     Restamp { item: FlushItem, epoch: u64 },
     Accept { request: RequestId, job: JobIx, placed: Placed, epoch: u64 },
     AcceptAlone { request: RequestId, id: String, cancelled: bool },
-    AbortWrite { request: RequestId, job: JobIx, placed: Placed, epoch: u64 },
+    AbortWrite { request: Option<RequestId>, job: JobIx, placed: Placed, epoch: u64 },
     AbortRead { request: RequestId, id: String },
     AbortAlone { request: RequestId, id: String },
     Known { request: RequestId, spec: Box<JobSpec>, refusal: Option<(u16, &'static str)> },
@@ -411,7 +411,7 @@
             Pending::AbortWrite { request, job, placed, epoch } => {
                 if epoch == current {
                     self.on_abort_write(request, job, placed, outcome)
-                } else {
+                } else if let Some(request) = request {
                     self.answer_busy(request)
                 }
             }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -110,7 +110,10 @@
     /// Accepted; not all jobs that it needs are known to be done on record.
     Waiting,
     Live,
-    /// An abort may have been recorded; until that is known nothing starts.
+    /// Its abort is being recorded; until that is known nothing starts.
+    Aborting,
+    /// Its abort may have been recorded, now or later: its tasks are stopped, and the abort is
+    /// recorded again until it is known to stand.
     Doubtful,
     /// Aborted on record; shares remain until no task is on a machine.
     Aborted,
@@ -481,21 +484,13 @@
                 self.absolve(ix);
                 let Some(job) = self.jobs.get_mut(ix) else { return };
                 job.aborted_ms = self.now.steady_ms;
-                let keys: Vec<u32> = job.tasks().map(|(t, _)| t).collect();
+                let idle = |s: TaskState| matches!(s, TaskState::Waiting | TaskState::Undealt);
+                let keys: Vec<u32> =
+                    job.tasks().filter(|(_, t)| idle(t.state)).map(|(t, _)| t).collect();
                 for task in keys {
-                    let key = TaskKey { job: ix, task };
-                    match self.jobs.task(key).map(|t| t.state) {
-                        Some(TaskState::Waiting | TaskState::Undealt) => {
-                            self.task_to(key, TaskState::Dropped)
-                        }
-                        Some(
-                            TaskState::Starting { machine, .. } | TaskState::On { machine, .. },
-                        ) => {
-                            self.needs_orders.insert(machine);
-                        }
-                        _ => {}
-                    }
+                    self.task_to(TaskKey { job: ix, task }, TaskState::Dropped);
                 }
+                self.stop_tasks(ix);
                 self.remember_final(ix, RecordedStatus::Aborted);
                 self.unlink(ix);
             }
@@ -506,7 +501,9 @@
                 tracing::debug!(job = %job.id, %class, tasks, age_ms, ready_ms, due_s, needs = ?job.spec.dependencies, "done");
                 self.remember_final(ix, RecordedStatus::Done);
             }
-            JobState::Live if old == JobState::Doubtful => self.touch_all(),
+            // Whoever has asked to cancel needs none of its tasks, whatever becomes of the record.
+            JobState::Doubtful => self.stop_tasks(ix),
+            JobState::Live if old == JobState::Aborting => self.touch_all(),
             JobState::Live if old == JobState::Waiting => {
                 job.ready_ms = self.now.wall_ms;
                 job.read_ms = self.now.steady_ms;
@@ -518,6 +515,13 @@
         }
     }
 
+    /// Tells the machines that hold tasks of a job, which is not to run any more.
+    fn stop_tasks(&mut self, ix: JobIx) {
+        let Some(job) = self.jobs.get(ix) else { return };
+        let machines = job.tasks().filter_map(|(_, t)| t.state.machine()).map(|(m, _)| m);
+        self.needs_orders.extend(machines.collect::<Vec<_>>());
+    }
+
     fn remember_final(&mut self, ix: JobIx, status: RecordedStatus) {
         if let Some(id) = self.jobs.get(ix).map(|j| j.id.clone()) {
             self.learn_final(&id, status);
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -776,18 +776,20 @@
     fn stop_wanted(&self, ix: MachineIx, r: &ReportTask) -> Option<f64> {
         let Some((id, n)) = parse_task(&r.task) else { return Some(0.0) };
         let Some(job) = self.jobs.find(id).and_then(|j| self.jobs.get(j)) else {
-            return self.knows_all_jobs().then_some(0.0);
+            let over = self.knows_all_jobs() || self.finals.get(id).is_some();
+            return over.then_some(0.0);
         };
-        if job.state == JobState::Unreadable || job.state == JobState::Doubtful {
+        if matches!(job.state, JobState::Unreadable | JobState::Aborting) {
             return None;
         }
+        let cancelled = matches!(job.state, JobState::Aborted | JobState::Doubtful);
         // While the records are being read, its share may not have come yet.
-        if !self.knows_all_jobs() && job.state != JobState::Aborted {
+        if !self.knows_all_jobs() && !cancelled {
             return None;
         }
         let Some(task) = job.task(n) else { return Some(0.0) };
         match task.state {
-            _ if job.state == JobState::Aborted => Some(0.0),
+            _ if cancelled => Some(0.0),
             TaskState::Stopping { machine, attempt, grace }
                 if machine == ix && attempt == r.attempt =>
             {
--- a/crates/core/src/shares.rs
+++ b/crates/core/src/shares.rs
@@ -103,7 +103,7 @@
     /// A job's own record as memory has it, without its share.
     pub(crate) fn own_record(&self, job: &Job) -> JobRecord {
         let mut record = self.folded_record(job, &[]);
-        if matches!(job.state, JobState::Aborted | JobState::Doubtful) {
+        if matches!(job.state, JobState::Aborted | JobState::Aborting | JobState::Doubtful) {
             record.status = RecordedStatus::Aborted;
             record.end_within(self.value_most());
         }
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -790,9 +790,7 @@
                     if let Some(j) = self.jobs.get_mut(job) {
                         (j.busy, j.stamp) = (false, 0);
                     }
-                    self.job_to(job, JobState::Live);
-                    self.store.touch_job(job);
-                    return self.touch_probed(job);
+                    return self.read_live(job);
                 };
                 let Some(record) = decode::<JobRecord>(&pair.value) else {
                     return self.unreadable(job);
@@ -817,17 +815,30 @@
                         self.job_to(job, JobState::Aborted);
                         self.store.touch_job(job);
                     }
-                    RecordedStatus::Live => {
-                        self.job_to(job, JobState::Live);
-                        self.store.touch_job(job);
-                        self.touch_probed(job);
-                    }
+                    RecordedStatus::Live => self.read_live(job),
                 }
             }
             FlushItem::Inbox(_) => {}
         }
     }
 
+    /// What stands of a job says that it lives. If an abort of it may still come to stand, it is
+    /// recorded once more: whichever comes first, the other fails.
+    fn read_live(&mut self, job: JobIx) {
+        if self.jobs.get(job).is_some_and(|j| j.state == JobState::Doubtful) {
+            if !self.write_abort(None, job) {
+                if let Some(j) = self.jobs.get_mut(job) {
+                    j.busy = true;
+                }
+                self.restamp_again(FlushItem::End { job, chunks: Vec::new() });
+            }
+            return;
+        }
+        self.job_to(job, JobState::Live);
+        self.store.touch_job(job);
+        self.touch_probed(job);
+    }
+
     /// The read failed: it is tried again with the next round of the lease.
     fn restamp_again(&mut self, item: FlushItem) {
         self.store_retry.push(item);
--- a/crates/core/tests/stories/main.rs
+++ b/crates/core/tests/stories/main.rs
@@ -5,9 +5,11 @@
 mod hearing;
 mod inline;
 mod largest;
+mod meetings;
 mod pages;
 mod restarts;
 mod rolls;
+mod search;
 mod upgrade;
 mod world;
 
--- a/crates/core/tests/stories/world.rs
+++ b/crates/core/tests/stories/world.rs
@@ -52,6 +52,14 @@
     pub to_ms: u64,
 }
 
+/// Transactions that get no answer and are carried out later, after newer ones.
+#[derive(Clone, Copy, Debug)]
+pub struct LateWrites {
+    pub share: f64,
+    pub from_ms: u64,
+    pub to_ms: u64,
+}
+
 enum Msg {
     /// A copy of a report, to which nobody waits for an answer.
     Copy {
@@ -117,6 +125,15 @@
         node: usize,
         life: u32,
     },
+    /// A transaction that got no answer is carried out.
+    LateWrite {
+        from: usize,
+        txn: Transaction,
+    },
+    /// The time of a cancelled job is up.
+    CancelDue {
+        job: String,
+    },
 }
 
 struct Entry {
@@ -175,6 +192,9 @@
     pub too_many: u64,
     /// Keys in one answer at most.
     pub page: Option<usize>,
+    pub late_writes: Option<LateWrites>,
+    /// Requests take up to so much longer to arrive, and their answers to come back.
+    pub slow_ms: u64,
     /// Sets of keys that hold this are refused as malformed.
     pub poison: Option<String>,
     tokens: f64,
@@ -201,6 +221,8 @@
     pub token: u64,
     pub node: usize,
     pub lease_from: u64,
+    /// Its lease by a clock that may be slow.
+    pub lease_ms: u64,
     pub tasks: BTreeMap<String, Held>,
     pub dead: bool,
     pub hung_until: u64,
@@ -213,7 +235,7 @@
 impl Worker {
     /// Its tasks are still on it: it lives, and its lease has not run out.
     fn holds(&self, now: u64) -> bool {
-        !self.dead && now <= self.lease_from + LEASE_MS
+        !self.dead && now <= self.lease_from + self.lease_ms
     }
 }
 
@@ -303,6 +325,8 @@
     born_rev: Vec<u64>,
     /// Who sent the step that is being applied.
     stepping: Option<usize>,
+    /// 1 if the clocks of workers run slow and those of controllers apart, by 0.05%.
+    pub slow_clocks: u64,
     pub seed: u64,
 }
 
@@ -419,6 +443,7 @@
             paged: false,
             born_rev: vec![0; nodes],
             stepping: None,
+            slow_clocks: seed % 2,
             seed,
         };
         for n in 0..nodes {
@@ -451,6 +476,7 @@
             token: 0,
             node: 0,
             lease_from: self.now,
+            lease_ms: LEASE_MS + self.slow_clocks * LEASE_MS / 2_000,
             tasks: BTreeMap::new(),
             dead: false,
             hung_until: 0,
@@ -586,6 +612,26 @@
         }
     }
 
+    /// Ends one cut; what it held arrives now.
+    pub fn heal_between(&mut self, a: &End, b: &End) {
+        if let Some(at) = self.cuts.iter().position(|(x, y, _)| (x, y) == (a, b)) {
+            self.cuts.remove(at);
+        }
+        for (from, life, call) in std::mem::take(&mut self.held) {
+            let open = self.target(from, &call).is_some_and(|to| {
+                let node = End::Node(from);
+                self.cut_between(&node, &to).is_none()
+            });
+            match open {
+                true => {
+                    let d = self.delay();
+                    self.after(d, Msg::Call { from, life, call });
+                }
+                false => self.held.push((from, life, call)),
+            }
+        }
+    }
+
     fn cut_between(&self, a: &End, b: &End) -> Option<Cut> {
         self.cuts
             .iter()
@@ -890,6 +936,28 @@
                 }
             }
             Msg::Boot { machine, zone } => self.boot(&machine, &zone, false),
+            Msg::LateWrite { from, txn } => {
+                if self.state.down {
+                    return self.after(100, Msg::LateWrite { from, txn });
+                }
+                self.expire_leases();
+                if txn.apply.iter().any(|c| matches!(c, Change::Set { set, .. } if set == FORMAT)) {
+                    self.stepping = Some(from);
+                }
+                self.transact(txn);
+            }
+            Msg::CancelDue { job } => {
+                let now = self.now;
+                for (name, w) in self.workers.iter().filter(|(_, w)| w.holds(now)) {
+                    for (task, held) in &w.tasks {
+                        let of = task.rsplit_once('/').is_some_and(|(j, _)| j == job);
+                        if of && held.status != TaskStatus::Exited {
+                            let breach = format!("ran_cancelled {task} still on {name} at {now}");
+                            self.breaches.push(breach);
+                        }
+                    }
+                }
+            }
         }
     }
 
@@ -905,8 +973,14 @@
         id
     }
 
+    /// A controller's steady clock: up to 0.05% fast or slow where clocks differ.
+    fn steady_ms(&self, node: usize) -> u64 {
+        let off = self.slow_clocks * self.now / 2_000;
+        [self.now - off, self.now, self.now + off][node % 3]
+    }
+
     fn feed(&mut self, node: usize, event: Event) {
-        let now = Now { steady_ms: self.now, wall_ms: 1_000_000 + self.now };
+        let now = Now { steady_ms: self.steady_ms(node), wall_ms: 1_000_000 + self.now };
         let at = self.now;
         let Some(n) = self.nodes[node].as_mut() else { return };
         if at < n.paused_until {
@@ -964,15 +1038,23 @@
         if self.rng.random_bool(self.loss) {
             return;
         }
-        let d = self.delay();
+        let d = self.delay() + self.slowness(&to);
         self.after(d, Msg::Call { from, life, call });
     }
 
+    /// What the state service takes beyond the network's delay.
+    fn slowness(&mut self, end: &End) -> u64 {
+        match (end, self.state.slow_ms) {
+            (End::State, ms @ 1..) => self.rng.random_range(0..ms),
+            _ => 0,
+        }
+    }
+
     fn back(&mut self, node: usize, life: u32, call: CallId, response: Response, from: &End) {
         if self.cut_between(&End::Node(node), from).is_some() || self.rng.random_bool(self.loss) {
             return;
         }
-        let d = self.delay();
+        let d = self.delay() + self.slowness(from);
         let outcome = Outcome::Answer(response);
         self.after(d, Msg::Outcome { node, life, call, outcome });
     }
@@ -1080,7 +1162,11 @@
                     }
                     if a.status == JobStatus::Aborted {
                         let now = self.now;
-                        self.aborted_at.entry(id.clone()).or_insert(now);
+                        // To the millisecond, from the first confirmation that a user got.
+                        if !self.aborted_at.contains_key(&id) {
+                            self.aborted_at.insert(id.clone(), now);
+                            self.after(CANCEL_MS + 1, Msg::CancelDue { job: id.clone() });
+                        }
                     }
                     let (one, other) = (known, Some(a.status));
                     if ended(one) && ended(other) && one != other {
@@ -1178,6 +1264,12 @@
             if self.state.hold_steps && txn.apply.iter().any(step) {
                 return self.held.push((from, life, call));
             }
+            if let Some(late) = self.state.late_writes {
+                if self.rng.random_bool(late.share) {
+                    let ms = self.rng.random_range(late.from_ms..=late.to_ms);
+                    return self.after(ms, Msg::LateWrite { from, txn });
+                }
+            }
             if txn.apply.iter().any(step) {
                 self.stepping = Some(from);
             }
@@ -1759,8 +1851,8 @@
     /// Lets a node go on by itself until it asks a machine for its report, answers with
     /// this one, and returns the tokens of all orders that the node then sends.
     pub fn answer_inspect(&mut self, node: usize, report: &Report) -> Vec<u64> {
+        let mut steady_ms = self.steady_ms(node);
         let core = &mut self.nodes[node].as_mut().unwrap().core;
-        let mut steady_ms = self.now;
         let mut step = |event: Event| {
             steady_ms += 25;
             core.handle(Now { steady_ms, wall_ms: 1_000_000 + steady_ms }, event)
@@ -1784,7 +1876,7 @@
 
     /// A node's figures, as operators see them.
     pub fn figures(&mut self, node: usize) -> BTreeMap<String, f64> {
-        let now = Now { steady_ms: self.now, wall_ms: 1_000_000 + self.now };
+        let now = Now { steady_ms: self.steady_ms(node), wall_ms: 1_000_000 + self.now };
         let (method, target) = ("GET".into(), "/metrics".into());
         let request = Request { method, target, body: Vec::new(), close: false };
         let n = self.nodes[node].as_mut().unwrap();
@@ -1802,7 +1894,7 @@
     /// a worker's report: answers by their status, calls by their target.
     pub fn wake_to_report(&mut self, node: usize, slept_ms: u64, worker: &str) -> Vec<String> {
         let body = to_cbor(&self.report_of(worker).unwrap());
-        let steady_ms = self.now + slept_ms;
+        let steady_ms = self.steady_ms(node) + slept_ms;
         let core = &mut self.nodes[node].as_mut().unwrap().core;
         let (method, target) = ("POST".into(), "/checkin".into());
         let request = Request { method, target, body, close: false };
@@ -1825,7 +1917,7 @@
     fn expire_session(&mut self, name: &str) {
         let now = self.now;
         let w = self.workers.get_mut(name).unwrap();
-        if now > w.lease_from + LEASE_MS {
+        if now > w.lease_from + w.lease_ms {
             w.tasks.clear();
             w.tenure += 1;
             w.lease_from = now;
