--- a/crates/scale/src/days.rs
+++ b/crates/scale/src/days.rs
@@ -1,5 +1,5 @@
-//! Days of our own for a site: controllers that end in every way, floods of each class, and
-//! guests who send small jobs faster than they can be recorded.
+//! Days of our own for a site: controllers that end in every way, floods of each class, guests who
+//! send small jobs faster than they can be recorded, and pairs of troubles that meet.
 
 use toml_edit::{Array, ArrayOfTables, DocumentMut, InlineTable, Item, Table, Value};
 
@@ -38,6 +38,10 @@
     zone: Option<String>,
     teams: Vec<String>,
     classes: Vec<String>,
+    /// Those whose tasks run to an end, each by itself.
+    arrays: Vec<String>,
+    /// Seconds within which a cancelled job is gone.
+    cancel_s: f64,
 }
 
 impl Site {
@@ -48,6 +52,11 @@
             let name = |t: &Table| t.get("name").and_then(Item::as_str).map(str::to_string);
             Ok(tables.iter().filter_map(name).collect())
         };
+        let array = |t: &&Table| t.get("kind").and_then(Item::as_str) == Some("array");
+        let jobs = doc.get("jobs").and_then(Item::as_array_of_tables);
+        let jobs = jobs.into_iter().flatten().filter(array);
+        let arrays = jobs.filter_map(|t| t.get("name").and_then(Item::as_str));
+        let workers = doc.get("workers").ok_or(SiteError::Missing("workers"))?;
         let nodes = doc.get("nodes").ok_or(SiteError::Missing("nodes"))?;
         let zones = nodes.get("zones").and_then(Item::as_array);
         Ok(Site {
@@ -59,6 +68,11 @@
             zone: zones.and_then(|z| Some(z.get(0)?.as_str()?.to_string())),
             teams: names("teams")?,
             classes: names("jobs")?,
+            arrays: arrays.map(str::to_string).collect(),
+            cancel_s: workers
+                .get("cancel_s")
+                .and_then(Item::as_float)
+                .ok_or(SiteError::Missing("workers.cancel_s"))?,
         })
     }
 
@@ -133,6 +147,80 @@
         ]
     }
 
+    /// Pairs of troubles that meet, each while many cancel jobs whose tasks outlast all of them.
+    fn meetings(&self) -> Vec<Table> {
+        let from = self.lasts * 0.25;
+        let past_cancel = self.cancel_s + 12.0;
+        let refused = |mode: &str, peers: bool, for_s: f64| {
+            let more = [
+                ("count", 1.into()),
+                ("busiest", true.into()),
+                ("from_state", true.into()),
+                ("from_peers", peers.into()),
+                ("mode", mode.into()),
+            ];
+            lasting(from, "node_cut", for_s, &more)
+        };
+        let share = |at_s: f64, kind: &str, share: f64, for_s: f64| {
+            lasting(at_s, kind, for_s, &[("share", share.into())])
+        };
+        let outage = |at_s: f64| lasting(at_s, "state_outage", past_cancel, &[]);
+        let ends =
+            |at_s: f64| [crash(at_s, 1), crash(at_s + 0.7, self.nodes), crash(at_s + 9.0, 1)];
+        let [one, all, again] = ends(from + 6.0);
+        let days = [
+            ("gap", vec![refused("refuse", false, 14.0), outage(from + 2.0)]),
+            ("gap-silent", vec![refused("hold", false, past_cancel), outage(from + 5.0)]),
+            (
+                "gap-late-writes",
+                vec![
+                    share(from - 15.0, "late_writes", 0.3, 25.0),
+                    refused("refuse", false, 14.0),
+                    outage(from + 4.0),
+                ],
+            ),
+            (
+                "cut-off-late-reports",
+                vec![refused("hold", true, 60.0), share(from, "late_reports", 0.3, 90.0)],
+            ),
+            ("cut-off-ends", vec![refused("refuse", true, 40.0), one.clone(), again.clone()]),
+            ("cut-off-outage", vec![refused("refuse", true, 30.0), outage(from + 8.0)]),
+            ("deaf-ends", vec![share(from, "machine_deaf", 0.3, 40.0), one.clone(), all.clone()]),
+            ("deaf-outage", vec![share(from, "machine_deaf", 0.3, 60.0), outage(from + 5.0)]),
+            (
+                "late-writes-ends",
+                vec![share(from, "late_writes", 0.4, 60.0), one.clone(), all.clone(), again],
+            ),
+            (
+                "late-both",
+                vec![
+                    share(from, "late_writes", 0.3, 60.0),
+                    share(from, "late_reports", 0.3, 60.0),
+                    lasting(from, "state_slow", 60.0, &[("factor", 10.0.into())]),
+                ],
+            ),
+            ("outage-ends", vec![outage(from), one, all, crash(from + past_cancel + 0.5, 1)]),
+        ];
+        let cancelled = self.arrays.first().map(|class| {
+            let mut run = InlineTable::new();
+            let around = [("median", 2.0), ("p95", 2.6), ("max", 3.0)];
+            around.iter().for_each(|(k, by)| drop(run.insert(*k, (by * self.cancel_s).into())));
+            let mut job = InlineTable::new();
+            job.insert("name", class.as_str().into());
+            job.insert("cancelled", 0.6.into());
+            job.insert("run_s", run.into());
+            Array::from_iter([Value::from(job)])
+        });
+        let day = |(name, faults): (&str, Vec<InlineTable>)| {
+            let mut day = table(&format!("meet-{name}"), faults);
+            if let Some(jobs) = &cancelled {
+                day.insert("jobs", Item::Value(jobs.clone().into()));
+            }
+            day
+        };
+        days.into_iter().map(day).collect()
+    }
+
     /// Floods of each class, and of each two, with an end of the busiest in them.
     fn floods(&self) -> Vec<(String, Vec<InlineTable>)> {
         let end = || crash(self.lasts * (BEGINS + FLOOD / 2.0), 1);
@@ -206,12 +294,57 @@
     day
 }
 
+/// Kinds of trouble that a day may name.
+const KINDS: [&str; 26] = [
+    "boot_trouble",
+    "capacity",
+    "cloud_outage",
+    "job_burst",
+    "late_reports",
+    "late_writes",
+    "machine_deaf",
+    "machine_die",
+    "machine_hang",
+    "machine_sick",
+    "machine_slow",
+    "node_crash",
+    "node_cut",
+    "node_down",
+    "node_freeze",
+    "node_roll",
+    "node_slow",
+    "peers_refuse",
+    "poll_storm",
+    "spot_rate",
+    "spot_taken",
+    "state_limits",
+    "state_outage",
+    "state_slow",
+    "zone_cut",
+    "zone_partition",
+];
+
+/// Looks whether all troubles of a day are known; else says which of which day is not.
+pub fn check(day: &Table) -> Result<(), SiteError> {
+    let name = day.get("name").and_then(Item::as_str).unwrap_or("without a name");
+    let faults = day.get("faults").and_then(Item::as_array);
+    for fault in faults.into_iter().flatten().filter_map(Value::as_inline_table) {
+        let kind = fault.get("kind").and_then(Value::as_str).unwrap_or("none");
+        if !KINDS.contains(&kind) {
+            let (day, kind) = (name.to_string(), kind.to_string());
+            return Err(SiteError::Kind { day, kind, allowed: KINDS.join(", ") });
+        }
+    }
+    Ok(())
+}
+
 /// Puts days of our own in the place of the file's.
 pub fn replace(doc: &mut DocumentMut) -> Result<(), SiteError> {
     let site = Site::read(doc)?;
     let mut days = ArrayOfTables::new();
     let with_faults = site.restarts().into_iter().chain(site.cuts()).chain(site.floods());
     with_faults.for_each(|(name, faults)| days.push(table(&name, faults)));
+    site.meetings().into_iter().for_each(|day| days.push(day));
     GUESTS.iter().for_each(|rate| days.push(site.swarm("guests", *rate, None)));
     if let Some(team) = site.teams.last() {
         days.push(site.swarm("crew", GUESTS[GUESTS.len() - 1], Some(team)));
--- a/crates/scale/src/site.rs
+++ b/crates/scale/src/site.rs
@@ -10,6 +10,8 @@
     Toml(#[from] toml_edit::TomlError),
     #[error("the site file has no `{0}`")]
     Missing(&'static str),
+    #[error("day `{day}` names a trouble of unknown kind `{kind}`; allowed are {allowed}")]
+    Kind { day: String, kind: String, allowed: String },
 }
 
 /// Multiplies a number where it stands; whole numbers stay whole.
@@ -83,6 +85,7 @@
         keys.iter().for_each(|key| times(found, key, rates));
     }
     if let Some(days) = doc.get_mut("day").and_then(Item::as_array_of_tables_mut) {
+        days.iter().try_for_each(crate::days::check)?;
         for faults in days.iter_mut().filter_map(|d| d.get_mut("faults")) {
             for fault in faults.as_array_mut().into_iter().flat_map(|a| a.iter_mut()) {
                 multiply_fault(fault, by);
@@ -184,6 +187,15 @@
         assert!(multiply("name = ", &by(2.0)).is_err());
     }
 
+    /// Guards against a trouble that nobody knows being passed on as if it would come.
+    #[test]
+    fn an_unknown_kind_of_trouble_is_refused_by_name() {
+        let odd = SITE.replace("node_crash", "node_explodes");
+        assert_ne!(odd, SITE);
+        let error = multiply(&odd, &by(2.0)).unwrap_err().to_string();
+        assert!(error.contains("node_explodes") && error.contains("late_writes"), "{error}");
+    }
+
     /// Guards what a day of our own is: every class of the site in a flood, guests that keep
     /// to their own class, restarts that are as quick as asked for, and sockets left alone.
     #[test]
@@ -195,7 +207,7 @@
             own_days: true,
             ..by(1.5)
         };
-        let site = format!("duration_s = 300.0\n{SITE}");
+        let site = format!("duration_s = 300.0\nworkers = {{ cancel_s = 40.0 }}\n{SITE}");
         let own: DocumentMut = multiply(&site, &growth).unwrap().parse().unwrap();
         assert_eq!(own["nodes"]["restart_delay_s"].as_float(), Some(0.2));
         assert_eq!(own["nodes"]["max_connections"].as_integer(), Some(100));
@@ -208,5 +220,9 @@
         let jobs = guests["jobs"].as_array().unwrap().to_string();
         assert!(jobs.contains("rate = 80.0") && jobs.contains("teams = [\"t\"]"), "{jobs}");
         assert!(named("d").is_none());
+        let gap = named("meet-gap").unwrap()["faults"].as_array().unwrap();
+        let outage = gap.get(1).and_then(Value::as_inline_table).unwrap();
+        assert_eq!(outage["kind"].as_str(), Some("state_outage"));
+        assert_eq!(outage["for_s"].as_float(), Some(52.0));
     }
 }
