Whoever records a cancellation past the leader tells the others at once

Need: in the gap (the leader refused, then an outage for all) the tasks of a cancelled job ran on until their leases ended, though the controllers could reach one another all the while.

Change: an abort that stands past the leader goes to every sibling by the mesh. A leader stops the tasks, a keeper stops them on the machines that it keeps, all answer by it. A build that does not know the message answers 404 and is none the worse.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -35,6 +35,9 @@
     Unknown,
 }
 
+/// Where siblings tell one another of aborts that stand on record.
+pub(crate) const ABORTED: &str = "/aborted/";
+
 impl Controller {
     pub(crate) fn on_client(&mut self, id: RequestId, request: Request) {
         let path = request.target.split('?').next().unwrap_or("");
@@ -745,6 +748,7 @@
                 self.state_answered();
                 tracing::info!(job = %job, "aborted past the leader");
                 self.learn_final(&job, RecordedStatus::Aborted);
+                self.tell_abort(&job);
                 self.answer_final(id, &job, RecordedStatus::Aborted)
             }
             Outcome::Answer(r) if r.status != 409 => {
@@ -755,18 +759,50 @@
         }
     }
 
+    /// Tells the others of an abort that stands on record, so that its tasks are stopped at once
+    /// even by a leader that the state service does not answer. Nothing rests on its arrival: the
+    /// note in the inbox and the horizon hold without it.
+    fn tell_abort(&mut self, job: &str) {
+        for at in 0..self.cfg.platform.siblings.len() {
+            let mut message = self.mesh_message();
+            let (method, path) = ("POST".to_string(), format!("{ABORTED}{job}"));
+            message.forward = Some(Forward { method, path, body: Vec::new() });
+            let (peer, timeout) = (Peer::Sibling(at), self.cfg.mesh_timeout_ms());
+            let body = to_cbor(&message);
+            self.call(peer, "POST", "/mesh".into(), body, timeout, Pending::Told);
+        }
+    }
+
+    /// A sibling says that a job's abort stands on record. It says so however late it comes.
+    pub(crate) fn told_of_abort(&mut self, id: RequestId, job: &str) {
+        if !valid_job_id(job) {
+            return self.answer_error(id, 400, "malformed ref");
+        }
+        self.keeper_learns_abort(job);
+        self.abort_stands(job);
+        let body = to_cbor(&self.mesh_message());
+        self.answer(id, Response::new(200, body));
+    }
+
+    /// An abort that others recorded stands; its stamp is read when needed.
+    fn abort_stands(&mut self, job: &str) {
+        if let Some(ix) = self.jobs.find(job) {
+            if self.jobs.get(ix).is_some_and(|j| j.state != JobState::Aborted) {
+                self.job_to(ix, JobState::Aborted);
+                self.restamp_job(ix);
+            }
+        }
+        self.learn_final(job, RecordedStatus::Aborted);
+    }
+
     /// What was recorded past the leader.
     pub(crate) fn on_inbox(&mut self, path: &str, value: &ciborium::value::Value) {
         let Some(job) = path.strip_prefix(INBOX).filter(|j| valid_job_id(j)) else { return };
         let aborted = decode::<bool>(value).unwrap_or(false);
         self.store.clear_inbox(path.to_string());
         if aborted {
-            // The abort stands in the same transaction; its stamp is read when needed.
-            if let Some(ix) = self.jobs.find(job) {
-                self.job_to(ix, JobState::Aborted);
-                self.restamp_job(ix);
-            }
-            self.learn_final(job, RecordedStatus::Aborted);
+            // The abort stands in the same transaction.
+            self.abort_stands(job);
         } else if self.jobs.find(job).is_none() {
             let pending = Pending::InboxRead { job: job.to_string(), epoch: self.epoch() };
             self.state_call("GET", format!("/keys/{}", job_key(job)), Vec::new(), pending);
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -77,6 +77,7 @@
     Compare { compared: Compared, epoch: u64 },
     Forward { request: RequestId, sibling: usize, work: Box<UserWork> },
     Beat { sibling: usize },
+    Told,
     Relay { request: RequestId, report: Box<Report> },
     Adopt { job: JobIx, epoch: u64 },
     Types,
@@ -362,7 +363,7 @@
         match pending {
             Pending::LeaseNew { sent_ms } => self.on_lease_new(sent_ms, outcome),
             Pending::LeaseRenew { sent_ms } => self.on_lease_renew(sent_ms, outcome),
-            Pending::MemberKey => {}
+            Pending::MemberKey | Pending::Told => {}
             Pending::KeepClaim { epoch, permit } => self.on_keep_claim(epoch, permit, outcome),
             Pending::KeepRead { job, sent_ms } => self.on_keep_read(job, sent_ms, outcome),
             Pending::Post { ids } => self.on_post_written(ids, outcome),
--- a/crates/core/src/keeper.rs
+++ b/crates/core/src/keeper.rs
@@ -240,6 +240,13 @@
         (k.live, k.as_of_ms) = (live, k.as_of_ms.max(sent_ms));
     }
 
+    /// A kept machine may hold tasks of a job that is cancelled on record.
+    pub(crate) fn keeper_learns_abort(&mut self, job: &str) {
+        if let Some(known) = self.keeper.jobs.get_mut(job) {
+            known.live = false;
+        }
+    }
+
     /// Records that this controller keeps workers under the present view.
     fn claim(&mut self, epoch: u64) {
         let now = self.now.steady_ms;
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -9,6 +9,7 @@
 use quartzgate_wire::{from_cbor, to_cbor};
 use rand::Rng;
 
+use crate::api::ABORTED;
 use crate::budget::Budget;
 use crate::config::Config;
 use crate::controller::{follower_share, leader_share, Controller, Pending};
@@ -813,6 +814,9 @@
                 Some(at) => self.relay_orders(id, at, &f.body),
                 None => self.answer_error(id, 400, "unknown sibling"),
             },
+            Some(f) if f.path.starts_with(ABORTED) => {
+                self.told_of_abort(id, f.path.trim_start_matches(ABORTED))
+            }
             Some(f) => self.on_user(id, &f.method, &f.path, f.body, true),
             None => {
                 let body = to_cbor(&self.mesh_message());
--- a/crates/core/tests/stories/meetings.rs
+++ b/crates/core/tests/stories/meetings.rs
@@ -164,6 +164,35 @@
     format!("vm-{n:06}")
 }
 
+/// Guards promptness in the gap: the controller that confirms tells the others by the mesh, and the
+/// leader, whom the state service refuses, stops the tasks within a round, not when leases end.
+#[test]
+fn a_refused_leader_hears_of_a_cancellation_from_its_siblings() {
+    let mut gone = Vec::new();
+    for case in 0..24u64 {
+        let mut w = world(12_700 + case);
+        w.returns_off = true;
+        let old = w.leader().unwrap();
+        refuse(&mut w, old, case % 2 == 1);
+        w.run(case * 23);
+        if !cancel(&mut w, &[(old + 1 + case as usize / 2 % 2) % 3], &name(1), 1_500) {
+            continue;
+        }
+        w.state.down = true;
+        let told = w.now;
+        w.until(2 * REPORT_MS, "its tasks are gone", |w| w.on(&name(1)).is_empty());
+        gone.push(w.now - told);
+        w.run(CANCEL_MS);
+        w.state.down = false;
+        admit(&mut w, old);
+        w.until(90_000, "what was not cancelled runs again", |w| w.on(&name(2)).len() == 3);
+        w.nobody_is_forgotten();
+    }
+    gone.sort_unstable();
+    println!("ms from the confirmation until all tasks were gone: {gone:?}");
+    assert!(gone.len() > 16, "{gone:?}");
+}
+
 /// Guards a cancellation that the leader confirmed and could not carry out any more: it ends at
 /// once, its heir begins to read the records, and the state service goes down for all while the
 /// workers report to the heir, who does not know yet what was cancelled.
