Held reports are looked at when the reading gets on, not at each tick

Cause: while the records are read, each tick took every held report apart again. Change: they are tried again when a part of the records has been read, and let go when their time is up.

--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -287,7 +287,7 @@
     fn on_tick(&mut self) {
         self.tick_member();
         self.settle_doubt();
-        self.retry_held();
+        self.tick_held();
         self.tick_format();
         self.tick_types();
         self.tick_keeper();
--- a/crates/core/src/pause.rs
+++ b/crates/core/src/pause.rs
@@ -84,18 +84,22 @@
         }
     }
 
-    /// Answers held reports that can be answered now; a worker that has waited for long enough
-    /// looks elsewhere, while its lease still has time.
-    pub(crate) fn retry_held(&mut self) {
-        if self.in_doubt() {
-            return;
-        }
+    /// A worker that has waited for long enough looks elsewhere, while its lease still has time.
+    /// While the records are read, the others are looked at as the reading gets on.
+    pub(crate) fn tick_held(&mut self) {
         let now = self.now.steady_ms;
+        let held = std::mem::take(&mut self.pause.held).into_iter();
+        let (late, held): (Vec<_>, _) = held.partition(|r| now >= r.until_ms);
+        self.pause.held = held;
+        late.into_iter().for_each(|r| self.redirect(r.request));
+        if !self.in_doubt() && self.member.role != Role::Restoring {
+            self.retry_held();
+        }
+    }
+
+    /// Answers held reports that can be answered now.
+    pub(crate) fn retry_held(&mut self) {
         for report in std::mem::take(&mut self.pause.held) {
-            if now >= report.until_ms {
-                self.redirect(report.request);
-                continue;
-            }
             let held = self.pause.held.len();
             self.on_checkin(report.request, report.body, report.relayer);
             // It waits on for as long as it might at first.
--- a/crates/core/src/restore.rs
+++ b/crates/core/src/restore.rs
@@ -206,6 +206,9 @@
             }
             Phase::Inbox => return self.restored(),
         };
+        if !self.in_doubt() {
+            self.retry_held();
+        }
         self.restore_next();
     }
 
