--- a/crates/core/tests/stories/meetings.rs
+++ b/crates/core/tests/stories/meetings.rs
@@ -275,3 +275,150 @@
         w.nobody_is_forgotten();
     }
 }
+
+/// Short jobs and long ones, of which some are cancelled, asked about at every controller while
+/// `trouble` is called each fifth of a second; all that was not cancelled is done in the end.
+fn busy_day(seed: u64, mut trouble: impl FnMut(&mut World, u64)) {
+    let mut w = World::new(3, 8, 0.0, seed);
+    w.until(20_000, "all steps are taken", |w| w.stands().version >= 4);
+    w.run(1_000);
+    w.cloud_off = false;
+    let spec = |n: u32| job(&name(n), Shape::Array, 1 + n % 3);
+    for n in 0..12 {
+        // Tasks of one job end far apart.
+        w.run_ms.insert(format!("{}/1", name(n)), 12_000 + u64::from(n) * 700);
+    }
+    for turn in 0..90u64 {
+        trouble(&mut w, turn);
+        let (n, node) = ((turn / 4 % 12) as u32, turn as usize % 3);
+        if !w.told.contains_key(&name(n)) {
+            w.submit(node, &spec(n));
+        } else if n % 4 == 1 && turn > 20 {
+            w.abort(node, &name(n));
+        }
+        for n in 0..12 {
+            if w.told.contains_key(&name(n)) {
+                w.poll((node + n as usize) % 3, &name(n));
+            }
+        }
+        w.run(200);
+    }
+    (w.state.slow_ms, w.state.late_writes) = (0, None);
+    w.heal();
+    w.run(15_000);
+    (0..3).for_each(|n| {
+        if !w.is_up(n) {
+            w.start(n)
+        }
+    });
+    for n in 0..12 {
+        match n % 4 {
+            1 if w.told.contains_key(&name(n)) => w.abort_surely(&name(n)),
+            1 => {}
+            _ => {
+                w.submit_surely(&spec(n));
+                w.until_done(&name(n), 120_000);
+            }
+        }
+    }
+    w.nobody_is_forgotten();
+}
+
+/// Guards answers against a state service that is seconds late: they come out of order, users
+/// repeat at other controllers what was not answered, and nobody gets an older answer.
+#[test]
+fn a_slow_state_service_answers_out_of_order() {
+    for case in 0..18u64 {
+        let slow = [300, 900, 2_500][case as usize % 3];
+        busy_day(12_800 + case, |w, turn| {
+            w.state.slow_ms = if (10..60).contains(&turn) { slow } else { 0 };
+        });
+    }
+}
+
+/// Guards records of every kind against writes that get no answer and are carried out 2 to 12 s
+/// later, after newer ones, also after their writer has ended and is back: acceptances, ends,
+/// aborts, shares, pages, claims, the view.
+#[test]
+fn writes_come_late_and_their_writer_is_back() {
+    for case in 0..24u64 {
+        busy_day(12_900 + case, |w, turn| {
+            let share = [0.1, 0.3, 0.6][case as usize % 3];
+            let late = LateWrites { share, from_ms: 2_000, to_ms: 12_000 };
+            w.state.late_writes = (5..65).contains(&turn).then_some(late);
+            if turn % 20 == 15 + case % 5 {
+                let who = w.leader().map_or(0, |l| (l + case as usize / 3 % 2) % 3);
+                w.kill_for(who, 200);
+            }
+        });
+    }
+}
+
+/// Guards a takeover that is interrupted at each of its writes, and at each of the first ones under
+/// it: all controllers end, and are back within a fraction of a second or after a while.
+#[test]
+fn all_end_at_each_write_of_a_takeover() {
+    for case in 0..36u64 {
+        let mut w = world(13_000 + case);
+        let leader = w.leader().unwrap();
+        w.submit(leader, &job(&name(10), Shape::Array, 4));
+        w.run(3 + case % 40);
+        w.kill_for(leader, [200, 5_000][case as usize % 2]);
+        let stop = w.state.writes + case / 2;
+        for _ in 0..3_000 {
+            if w.state.writes >= stop {
+                break;
+            }
+            w.run(1);
+        }
+        (0..3).for_each(|n| {
+            if w.is_up(n) {
+                w.kill_for(n, [200, 3_000][(case as usize + n) % 2])
+            }
+        });
+        w.run(8_000);
+        w.submit_surely(&job(&name(10), Shape::Array, 4));
+        w.abort_surely(&name(1));
+        w.until_done(&name(10), 120_000);
+        w.run(CANCEL_MS);
+        w.until(90_000, "services run", |w| w.on(&name(2)).len() == 3);
+        w.nobody_is_forgotten();
+    }
+}
+
+/// Guards against a machine that hangs between two commands of one call and goes on late in its
+/// lease, when the task of the second has been cancelled, or started elsewhere.
+#[test]
+fn a_machine_hangs_between_two_commands() {
+    let mut hung = 0;
+    for case in 0..36u64 {
+        let mut w = World::new(3, 4, 0.0, 13_100 + case);
+        w.run(2_000);
+        w.returns_off = case % 2 == 0;
+        w.cloud_off = false;
+        w.run_ms = (1..4).map(|n| (name(n), 9_000)).collect();
+        let hang = 500 + case * (LEASE_MS / 30);
+        for m in 0..2 {
+            w.workers.get_mut(&vm(m)).unwrap().hang_between = Some((case as usize / 2 % 2, hang));
+        }
+        for n in 1..4 {
+            w.submit(n as usize % 3, &job(&name(n), Shape::Array, 3));
+        }
+        w.run(700);
+        w.submit_surely(&job(&name(1), Shape::Array, 3));
+        w.abort_surely(&name(1));
+        if case % 3 == 0 {
+            let leader = w.leader().unwrap();
+            w.kill_for(leader, 200);
+        }
+        w.run(CANCEL_MS + LEASE_MS);
+        for n in 2..4 {
+            w.submit_surely(&job(&name(n), Shape::Array, 3));
+            w.until_done(&name(n), 120_000);
+        }
+        w.nobody_is_forgotten();
+        let went_off = |m: &u32| w.workers.get(&vm(*m)).is_none_or(|m| m.hang_between.is_none());
+        hung += (0..2).filter(went_off).count();
+    }
+    assert!(hung > 36, "{hung} machines hung in the midst of a call");
+}
--- a/crates/core/tests/stories/world.rs
+++ b/crates/core/tests/stories/world.rs
@@ -228,6 +228,10 @@
     pub hung_until: u64,
     pub fails: bool,
     waiting: bool,
+    /// It hangs after so many commands of its next call, for so long.
+    pub hang_between: Option<(usize, u64)>,
+    /// Commands of a call in whose midst it hung, and the session that they are for.
+    rest: (u64, Vec<Order>),
     /// Orders that came while it hung.
     inbox: Vec<(usize, u32, Call)>,
 }
@@ -482,6 +486,8 @@
             hung_until: 0,
             fails: false,
             waiting: false,
+            hang_between: None,
+            rest: (0, Vec::new()),
             inbox: Vec::new(),
         };
         self.workers.insert(name.into(), worker);
@@ -1735,7 +1741,13 @@
         self.back(from, life, call.id, Response::new(status, body), &end);
     }
 
-    fn execute(&mut self, name: &str, orders: Vec<Order>) {
+    fn execute(&mut self, name: &str, mut orders: Vec<Order>) {
+        let now = self.now;
+        let w = self.workers.get_mut(name).unwrap();
+        if let Some((after, ms)) = w.hang_between.take_if(|(after, _)| orders.len() > *after) {
+            w.rest = (w.tenure, orders.split_off(after));
+            w.hung_until = now + ms;
+        }
         for order in orders {
             match order {
                 Order::Start { task, attempt } => self.start_task(name, task, attempt),
@@ -1936,6 +1948,11 @@
             return;
         }
         self.expire_session(name);
+        let w = self.workers.get_mut(name).unwrap();
+        let (tenure, rest) = std::mem::take(&mut w.rest);
+        if tenure == w.tenure {
+            self.execute(name, rest);
+        }
         let inbox = std::mem::take(&mut self.workers.get_mut(name).unwrap().inbox);
         for (from, life, call) in inbox {
             self.worker_call(name, from, life, call);
