--- a/crates/scale/src/days.rs
+++ b/crates/scale/src/days.rs
@@ -40,8 +40,39 @@
     classes: Vec<String>,
     /// Those whose tasks run to an end, each by itself.
     arrays: Vec<String>,
-    /// Seconds within which a cancelled job is gone.
+    /// Seconds within which a cancelled job is gone, and after which an unheard worker lets go.
     cancel_s: f64,
+    lease_s: f64,
+    /// Teams with a limit each that the day's work reaches: parts of all that can be rented.
+    limited: Vec<(String, f64)>,
+}
+
+/// Part of all CPUs that can be rented which teams may use together where their limits bind.
+const BINDS: f64 = 0.55;
+
+/// An amount, written with a point or without.
+fn amount(item: Option<&Item>) -> Option<f64> {
+    let item = item?;
+    item.as_float().or(item.as_integer().map(|n| n as f64))
+}
+
+/// Each team's part, by its weight, of what binds them all.
+fn limits_that_bind(doc: &DocumentMut) -> Vec<(String, f64)> {
+    let tables =
+        |list: &str| doc.get(list).and_then(Item::as_array_of_tables).into_iter().flatten();
+    let name = |t: &Table, key: &str| t.get(key).and_then(Item::as_str).unwrap_or("").to_string();
+    let cpus_of: std::collections::BTreeMap<String, f64> = tables("machine_types")
+        .map(|t| (name(t, "name"), amount(t.get("cpus")).unwrap_or(0.0)))
+        .collect();
+    let rented = |t: &Table| {
+        let each = cpus_of.get(&name(t, "type")).copied().unwrap_or(0.0);
+        each * (amount(t.get("count")).unwrap_or(0.0) + amount(t.get("spot")).unwrap_or(0.0))
+    };
+    let all: f64 = tables("capacity").map(rented).sum();
+    let weight = |t: &Table| amount(t.get("weight")).unwrap_or(1.0);
+    let weights: f64 = tables("teams").map(weight).sum();
+    let part = |t: &Table| (name(t, "name"), (all * BINDS * weight(t) / weights).round());
+    tables("teams").map(part).filter(|(_, limit)| *limit > 0.0).collect()
 }
 
 impl Site {
@@ -73,6 +104,11 @@
                 .get("cancel_s")
                 .and_then(Item::as_float)
                 .ok_or(SiteError::Missing("workers.cancel_s"))?,
+            lease_s: workers
+                .get("lease_s")
+                .and_then(Item::as_float)
+                .ok_or(SiteError::Missing("workers.lease_s"))?,
+            limited: limits_that_bind(doc),
         })
     }
 
@@ -221,6 +257,58 @@
         days.into_iter().map(day).collect()
     }
 
+    /// What users, messages and machines may do, each met by an end of the busiest controller, by
+    /// an outage past `cancel_s`, by a zone that is cut past `lease_s` and by limits that bind.
+    fn pairs(&self) -> Vec<Table> {
+        let from = self.lasts * 0.25;
+        let share = |kind: &str, share: f64, more: &[(&str, Value)]| {
+            let all: Vec<_> = [("share", share.into())].into_iter().chain(more.to_vec()).collect();
+            lasting(from, kind, 60.0, &all)
+        };
+        let cancel_now =
+            |at_s: f64| fault(at_s, "cancel_now", &[("count", 40.into()), ("hang_s", 20.0.into())]);
+        let troubles = [
+            ("mute", vec![share("machine_mute", 0.3, &[])]),
+            ("cancel-now", [6.2, 7.0, 22.0].map(|at| cancel_now(from + at)).to_vec()),
+            ("cancel-at-end", vec![share("cancel_at_end", 0.5, &[])]),
+            ("odd-requests", vec![lasting(from, "odd_requests", 60.0, &[])]),
+            ("close-looks", vec![lasting(from, "close_looks", 60.0, &[])]),
+            ("answers-lost", vec![share("late_writes", 0.4, &[("at_once", true.into())])]),
+            ("copies-kept", vec![share("late_reports", 0.5, &[("for_next", true.into())])]),
+        ];
+        let ends = || vec![crash(from + 6.0, 1), crash(from + 21.0, 1), crash(from + 40.0, 1)];
+        let outage = || vec![lasting(from + 6.5, "state_outage", self.cancel_s + 12.0, &[])];
+        let zone = self.zone.iter().map(|z| {
+            let cut = [("zone", z.as_str().into()), ("mode", "hold".into())];
+            ("zone", vec![lasting(from + 5.0, "zone_cut", self.lease_s + 15.0, &cut)], false)
+        });
+        let meets = [("ends", ends(), false), ("outage", outage(), false), ("limit", ends(), true)];
+        let mut days = Vec::new();
+        for (other, more, limited) in meets.into_iter().chain(zone) {
+            for (name, faults) in &troubles {
+                let faults = faults.iter().chain(&more).cloned();
+                let mut day = table(&format!("meet-{name}-{other}"), faults);
+                if limited {
+                    day.insert("teams", toml_edit::value(self.bound()));
+                }
+                days.push(day);
+            }
+        }
+        days
+    }
+
+    /// The teams, at limits that bind.
+    fn bound(&self) -> Array {
+        let team = |(name, limit): &(String, f64)| {
+            let mut team = InlineTable::new();
+            team.insert("name", name.as_str().into());
+            team.insert("cpus", (*limit / 2.0).into());
+            team.insert("cpus_max", (*limit).into());
+            Value::from(team)
+        };
+        self.limited.iter().map(team).collect()
+    }
+
     /// Floods of each class, and of each two, with an end of the busiest in them.
     fn floods(&self) -> Vec<(String, Vec<InlineTable>)> {
         let end = || crash(self.lasts * (BEGINS + FLOOD / 2.0), 1);
@@ -294,45 +382,136 @@
     day
 }
 
-/// Kinds of trouble that a day may name.
-const KINDS: [&str; 26] = [
-    "boot_trouble",
-    "capacity",
-    "cloud_outage",
-    "job_burst",
-    "late_reports",
-    "late_writes",
-    "machine_deaf",
-    "machine_die",
-    "machine_hang",
-    "machine_sick",
-    "machine_slow",
-    "node_crash",
-    "node_cut",
-    "node_down",
-    "node_freeze",
-    "node_roll",
-    "node_slow",
-    "peers_refuse",
-    "poll_storm",
-    "spot_rate",
-    "spot_taken",
-    "state_limits",
-    "state_outage",
-    "state_slow",
-    "zone_cut",
-    "zone_partition",
+/// What a key of a trouble may say.
+#[derive(Clone, Copy)]
+enum Allowed {
+    /// A number that is not below zero.
+    Amount,
+    /// A part of the whole.
+    Part,
+    Count,
+    Name,
+    Names,
+    Flag,
+}
+
+impl Allowed {
+    fn takes(self, value: &Value) -> bool {
+        let number = value.as_float().or(value.as_integer().map(|n| n as f64));
+        match self {
+            Allowed::Amount => number.is_some_and(|n| n.is_finite() && n >= 0.0),
+            Allowed::Part => number.is_some_and(|n| (0.0..=1.0).contains(&n)),
+            Allowed::Count => value.as_integer().is_some_and(|n| n >= 0),
+            Allowed::Name => value.as_str().is_some_and(|s| !s.is_empty()),
+            Allowed::Names => {
+                let names = |a: &Array| !a.is_empty() && a.iter().all(|n| n.as_str().is_some());
+                value.as_array().is_some_and(names)
+            }
+            Allowed::Flag => value.as_bool().is_some(),
+        }
+    }
+
+    fn says(self) -> &'static str {
+        match self {
+            Allowed::Amount => "a number of 0 or more",
+            Allowed::Part => "a number from 0 to 1",
+            Allowed::Count => "a whole number of 0 or more",
+            Allowed::Name => "a name",
+            Allowed::Names => "a list of names",
+            Allowed::Flag => "true or false",
+        }
+    }
+}
+
+use Allowed::{Amount, Count, Flag, Name, Names, Part};
+
+/// Kinds of trouble that a day may name, with their keys beside `kind` and `at_s`.
+const KINDS: [(&str, &[(&str, Allowed)]); 31] = [
+    ("boot_trouble", &[("fail", Part), ("factor", Amount), ("for_s", Amount)]),
+    ("cancel_at_end", &[("share", Part), ("for_s", Amount)]),
+    ("cancel_now", &[("count", Count), ("hang_s", Amount)]),
+    (
+        "capacity",
+        &[
+            ("type", Name),
+            ("zone", Name),
+            // Parts of what there was.
+            ("count", Amount),
+            ("spot", Amount),
+            ("for_s", Amount),
+        ],
+    ),
+    ("close_looks", &[("for_s", Amount)]),
+    ("cloud_outage", &[("for_s", Amount)]),
+    ("job_burst", &[("class", Name), ("factor", Amount), ("for_s", Amount)]),
+    ("late_reports", &[("share", Part), ("for_s", Amount), ("for_next", Flag)]),
+    ("late_writes", &[("share", Part), ("for_s", Amount), ("at_once", Flag)]),
+    ("machine_deaf", MACHINES),
+    ("machine_die", MACHINES),
+    ("machine_hang", MACHINES),
+    ("machine_mute", MACHINES),
+    ("machine_sick", MACHINES),
+    ("machine_slow", MACHINES),
+    ("node_crash", NODES),
+    (
+        "node_cut",
+        &[
+            ("count", Count),
+            ("busiest", Flag),
+            ("from_state", Flag),
+            ("from_peers", Flag),
+            ("from_workers", Flag),
+            ("for_s", Amount),
+            ("mode", Name),
+        ],
+    ),
+    ("node_down", NODES),
+    ("node_freeze", NODES),
+    ("node_roll", &[("every_s", Amount), ("upgrade", Flag)]),
+    ("node_slow", NODES),
+    ("odd_requests", &[("for_s", Amount)]),
+    ("peers_refuse", &[("for_s", Amount)]),
+    ("poll_storm", &[("factor", Amount), ("for_s", Amount)]),
+    ("spot_rate", &[("per_hour", Amount), ("for_s", Amount)]),
+    ("spot_taken", &[("share", Part), ("notice_s", Amount), ("over_s", Amount)]),
+    ("state_limits", &[("value_kb", Amount), ("txn_ops", Count), ("write_rps", Amount)]),
+    ("state_outage", &[("for_s", Amount)]),
+    ("state_slow", &[("factor", Amount), ("for_s", Amount)]),
+    ("zone_cut", &[("zone", Name), ("for_s", Amount), ("mode", Name)]),
+    ("zone_partition", &[("zones", Names), ("for_s", Amount), ("mode", Name)]),
 ];
+const MACHINES: &[(&str, Allowed)] =
+    &[("count", Count), ("share", Part), ("zone", Name), ("factor", Amount), ("for_s", Amount)];
+const NODES: &[(&str, Allowed)] =
+    &[("count", Count), ("busiest", Flag), ("factor", Amount), ("for_s", Amount)];
 
-/// Looks whether all troubles of a day are known; else says which of which day is not.
+/// Looks whether all troubles of a day are known, with what they say; else tells which of which
+/// day is not, and what is allowed.
 pub fn check(day: &Table) -> Result<(), SiteError> {
     let name = day.get("name").and_then(Item::as_str).unwrap_or("without a name");
     let faults = day.get("faults").and_then(Item::as_array);
     for fault in faults.into_iter().flatten().filter_map(Value::as_inline_table) {
         let kind = fault.get("kind").and_then(Value::as_str).unwrap_or("none");
-        if !KINDS.contains(&kind) {
-            let (day, kind) = (name.to_string(), kind.to_string());
-            return Err(SiteError::Kind { day, kind, allowed: KINDS.join(", ") });
+        let (day, kind) = (name.to_string(), kind.to_string());
+        let Some((_, keys)) = KINDS.iter().find(|(k, _)| *k == kind) else {
+            let allowed: Vec<&str> = KINDS.iter().map(|(k, _)| *k).collect();
+            return Err(SiteError::Kind { day, kind, allowed: allowed.join(", ") });
+        };
+        for (key, value) in fault.iter().filter(|(key, _)| *key != "kind") {
+            let key = key.to_string();
+            let known = keys.iter().find(|(k, _)| *k == key).map(|(_, a)| *a);
+            match known.or((key == "at_s").then_some(Amount)) {
+                Some(allowed) if allowed.takes(value) => {}
+                Some(allowed) => {
+                    let (value, allowed) = (value.to_string().trim().to_string(), allowed.says());
+                    return Err(SiteError::Value { day, kind, key, value, allowed });
+                }
+                None => {
+                    let allowed: Vec<&str> = keys.iter().map(|(k, _)| *k).collect();
+                    let allowed = format!("at_s, {}", allowed.join(", "));
+                    return Err(SiteError::Key { day, kind, key, allowed });
+                }
+            }
         }
     }
     Ok(())
@@ -344,7 +523,7 @@
     let mut days = ArrayOfTables::new();
     let with_faults = site.restarts().into_iter().chain(site.cuts()).chain(site.floods());
     with_faults.for_each(|(name, faults)| days.push(table(&name, faults)));
-    site.meetings().into_iter().for_each(|day| days.push(day));
+    site.meetings().into_iter().chain(site.pairs()).for_each(|day| days.push(day));
     GUESTS.iter().for_each(|rate| days.push(site.swarm("guests", *rate, None)));
     if let Some(team) = site.teams.last() {
         days.push(site.swarm("crew", GUESTS[GUESTS.len() - 1], Some(team)));
--- a/crates/scale/src/site.rs
+++ b/crates/scale/src/site.rs
@@ -12,6 +12,10 @@
     Missing(&'static str),
     #[error("day `{day}` names a trouble of unknown kind `{kind}`; allowed are {allowed}")]
     Kind { day: String, kind: String, allowed: String },
+    #[error("day `{day}`: a trouble of kind `{kind}` has no key `{key}`; allowed are {allowed}")]
+    Key { day: String, kind: String, key: String, allowed: String },
+    #[error("day `{day}`: `{key}` of `{kind}` is {value}; allowed is {allowed}")]
+    Value { day: String, kind: String, key: String, value: String, allowed: &'static str },
 }
 
 /// Multiplies a number where it stands; whole numbers stay whole.
--- a/crates/scale/tests/unit/site.rs
+++ b/crates/scale/tests/unit/site.rs
@@ -17,6 +17,9 @@
 write_rps = 10.0
 [cloud]
 rps = 4.0
+[[machine_types]]
+name = "k8"
+cpus = 8.0
 [[capacity]]
 type = "k8"
 count = 7
@@ -97,7 +100,8 @@
         own_days: true,
         ..by(1.5)
     };
-    let site = format!("duration_s = 300.0\nworkers = {{ cancel_s = 40.0 }}\n{SITE}");
+    let site =
+        format!("duration_s = 300.0\nworkers = {{ cancel_s = 40.0, lease_s = 20.0 }}\n{SITE}");
     let own: DocumentMut = multiply(&site, &growth).unwrap().parse().unwrap();
     assert_eq!(own["nodes"]["restart_delay_s"].as_float(), Some(0.2));
     assert_eq!(own["nodes"]["max_connections"].as_integer(), Some(100));
@@ -114,4 +118,35 @@
     let outage = gap.get(1).and_then(Value::as_inline_table).unwrap();
     assert_eq!(outage["kind"].as_str(), Some("state_outage"));
     assert_eq!(outage["for_s"].as_float(), Some(52.0));
+    // Each new trouble meets an end, an outage, a zone that is cut and a limit that binds.
+    let met = named("meet-answers-lost-outage").unwrap().to_string();
+    assert!(met.contains("at_once = true") && met.contains("state_outage"), "{met}");
+    let limited = named("meet-cancel-now-limit").unwrap().to_string();
+    assert!(limited.contains("cpus_max") && limited.contains("hang_s = 20.0"), "{limited}");
+    days.iter().for_each(|day| crate::days::check(day).unwrap());
+}
+
+/// Guards against a day that asks for something else than its writer thought: a key that its kind
+/// has not, or a value out of range, is refused by day, kind, key and what is allowed.
+#[test]
+fn a_trouble_that_says_what_it_cant_is_refused() {
+    let wrong = [
+        (
+            "count = 2 },\n  { at_s = 9.0, kind = \"node",
+            "counts = 2 },\n  { at_s = 9.0, kind = \"node",
+            "`counts`",
+            "for_s",
+        ),
+        ("at_s = 9.0, kind = \"node", "at_s = -1.0, kind = \"node", "`at_s`", "0 or more"),
+        ("\"machine_die\", count = 2", "\"machine_die\", count = 2.5", "`count`", "whole"),
+        ("\"machine_die\", count = 2", "\"machine_mute\", share = 1.5", "`share`", "0 to 1"),
+        ("\"machine_die\", count = 2", "\"late_writes\", at_once = 1", "`at_once`", "true"),
+    ];
+    for (from, to, key, allowed) in wrong {
+        let odd = SITE.replacen(from, to, 1);
+        assert_ne!(odd, SITE, "{from}");
+        let error = multiply(&odd, &by(2.0)).unwrap_err().to_string();
+        let told = error.contains("day `d`") && error.contains(key) && error.contains(allowed);
+        assert!(told, "{error}");
+    }
 }
