What a machine lists is not proven free of it, wherever an older report has put it

An old report that reaches a new leader first places a task on a machine that lost it; the machine that holds it, kept under the new token, was then taken for proven free though its report lists the task, and the task was started again beside itself (ran_twice).

--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -629,9 +629,14 @@
         }
         if knows_epoch {
             if let Some(m) = self.machines.get_mut(ix) {
-                let unproven = std::mem::take(&mut m.unproven);
-                let (held, free): (Vec<_>, Vec<_>) =
-                    unproven.into_iter().partition(|k| m.tasks.contains_key(k));
+                // What it lists is alive here, also what an older report has placed elsewhere: that
+                // one stays unproven until a report does not list it.
+                let (alive, free): (Vec<_>, Vec<_>) = std::mem::take(&mut m.unproven)
+                    .into_iter()
+                    .partition(|k| listed.binary_search(k).is_ok());
+                let (held, elsewhere): (Vec<_>, Vec<_>) =
+                    alive.into_iter().partition(|k| m.tasks.contains_key(k));
+                m.unproven = elsewhere;
                 // A task that it lists is its own business now: the flag goes as well.
                 self.proven_free(ix, free);
                 for key in held {
--- a/crates/core/tests/stories/main.rs
+++ b/crates/core/tests/stories/main.rs
@@ -6,6 +6,7 @@
 mod inline;
 mod largest;
 mod meetings;
+mod moments;
 mod pages;
 mod restarts;
 mod rolls;
--- a/crates/core/tests/stories/world.rs
+++ b/crates/core/tests/stories/world.rs
@@ -2,11 +2,14 @@
 //! joined by a network that delays, loses, holds and reorders. It knows the rules
 //! and notes every breach.
 
+mod checks;
+mod troubles;
+
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 
 use ciborium::value::Value;
 use quartzgate_core::config::{Config, Operator};
-use quartzgate_core::records::{JobRecord, PageRecord, FORMAT, FORMAT_NODES, PAGES};
+use quartzgate_core::records::{JobRecord, PageRecord, FORMAT, FORMAT_NODES, PAGES, VIEW};
 use quartzgate_core::{Action, Call, CallId, Controller, Event, Now, Outcome, Peer};
 use quartzgate_ladder::{Ladder, StandingRecord, Stands, Table, TABLE};
 use quartzgate_wire::http::{Request, Response};
@@ -19,6 +22,8 @@
 pub const REPORT_MS: u64 = 1_000;
 pub const LEASE_MS: u64 = 8_000;
 pub const CANCEL_MS: u64 = 24_000;
+/// Memory of each machine.
+const MEMORY_GB: f64 = 32.0;
 
 /// Who can be cut from whom.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -60,6 +65,23 @@
     pub to_ms: u64,
 }
 
+/// What becomes of a transaction that gets no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unanswered {
+    /// It is carried out at once: others read what it wrote.
+    AtOnce,
+    /// It is carried out so many milliseconds later, if its conditions hold then.
+    Late(u64),
+}
+
+/// The next so many transactions that set or delete a key with this prefix get no answer.
+#[derive(Clone, Debug)]
+pub struct Fate {
+    pub prefix: &'static str,
+    pub what: Unanswered,
+    pub left: u32,
+}
+
 enum Msg {
     /// A copy of a report, to which nobody waits for an answer.
     Copy {
@@ -193,6 +215,9 @@
     /// Keys in one answer at most.
     pub page: Option<usize>,
     pub late_writes: Option<LateWrites>,
+    /// This share of transactions is carried out at once, and the answer is lost.
+    pub lost_answers: f64,
+    pub fates: Vec<Fate>,
     /// Requests take up to so much longer to arrive, and their answers to come back.
     pub slow_ms: u64,
     /// Sets of keys that hold this are refused as malformed.
@@ -234,6 +259,11 @@
     rest: (u64, Vec<Order>),
     /// Orders that came while it hung.
     inbox: Vec<(usize, u32, Call)>,
+    born_ms: u64,
+    /// Images that it has, and what is still to be fetched of others, in GB.
+    images: BTreeSet<String>,
+    fetching: BTreeMap<String, f64>,
+    fetched_ms: u64,
 }
 
 impl Worker {
@@ -256,6 +286,15 @@
     undone: Vec<Action>,
 }
 
+/// A start that was sent after its job's cancellation had been confirmed to a user.
+#[derive(Clone, Debug)]
+pub struct LateStart {
+    pub task: String,
+    pub by: usize,
+    /// How long after the confirmation.
+    pub after_ms: u64,
+}
+
 pub struct Ask {
     pub method: &'static str,
     pub path: String,
@@ -298,6 +337,28 @@
     pub cloud_off: bool,
     /// Machines that the lagging list does not show yet.
     pub unlisted: BTreeSet<String>,
+    /// Machines that reach no controller, while direct commands reach them.
+    pub mute: BTreeSet<String>,
+    /// This share of reports is kept until another leads, and reaches every controller then.
+    pub kept_copies: f64,
+    kept: Vec<Vec<u8>>,
+    /// How long rented machines take to be up, and the list to show them after that.
+    pub boot_ms: (u64, u64),
+    pub list_lag_ms: u64,
+    /// The answers to so many requests for machines are lost.
+    pub lost_hires: u32,
+    /// Images are fetched, at this rate shared by all that a machine fetches at a time.
+    pub fetch_gb_per_s: Option<f64>,
+    /// Users ask at all nodes, and submit again, within milliseconds of what they are told and
+    /// of a job's end.
+    pub close_looks: bool,
+    /// Share of jobs that are called off at the moment of their last task's end.
+    pub cancel_at_end: f64,
+    /// Submissions that must be refused, and how.
+    never: BTreeMap<String, u16>,
+    pub odd_answers: BTreeMap<u16, u32>,
+    /// Starts of tasks that were sent after a user had been told that their job is cancelled.
+    pub late_starts: Vec<LateStart>,
     /// Machines that speak and don't hear, and how many starts were lost on the way to each.
     pub deaf: BTreeMap<String, Deaf>,
     pub lost_starts: BTreeMap<String, u32>,
@@ -430,6 +491,18 @@
             next_machine: 0,
             cloud_off: true,
             unlisted: BTreeSet::new(),
+            mute: BTreeSet::new(),
+            kept_copies: 0.0,
+            kept: Vec::new(),
+            boot_ms: (3_000, 3_000),
+            list_lag_ms: 0,
+            lost_hires: 0,
+            fetch_gb_per_s: None,
+            close_looks: false,
+            cancel_at_end: 0.0,
+            never: BTreeMap::new(),
+            odd_answers: BTreeMap::new(),
+            late_starts: Vec::new(),
             deaf: BTreeMap::new(),
             lost_starts: BTreeMap::new(),
             copies: None,
@@ -489,6 +562,10 @@
             hang_between: None,
             rest: (0, Vec::new()),
             inbox: Vec::new(),
+            born_ms: self.now,
+            images: BTreeSet::new(),
+            fetching: BTreeMap::new(),
+            fetched_ms: self.now,
         };
         self.workers.insert(name.into(), worker);
         self.after(10, Msg::Report { worker: name.into() });
@@ -651,6 +728,11 @@
         leader.node.trim_start_matches('n').parse().ok()
     }
 
+    /// The revision of the view that stands: it rises with each new leader.
+    pub fn view_stamp(&self) -> u64 {
+        self.state.keys.get(VIEW).map_or(0, |(_, stamp, _)| *stamp)
+    }
+
     // Users.
 
     pub fn ask(&mut self, node: usize, method: &'static str, path: &str, body: Vec<u8>) -> usize {
@@ -946,11 +1028,7 @@
                 if self.state.down {
                     return self.after(100, Msg::LateWrite { from, txn });
                 }
-                self.expire_leases();
-                if txn.apply.iter().any(|c| matches!(c, Change::Set { set, .. } if set == FORMAT)) {
-                    self.stepping = Some(from);
-                }
-                self.transact(txn);
+                self.carry_out_late(from, txn);
             }
             Msg::CancelDue { job } => {
                 let now = self.now;
@@ -1033,6 +1111,7 @@
         let lost = Msg::Outcome { node: from, life, call: id, outcome: Outcome::Lost };
         self.after(call.timeout_ms, lost);
         let Some(to) = self.target(from, &call) else { return };
+        self.note_late_starts(from, &call);
         match self.cut_between(&End::Node(from), &to) {
             Some(Cut::Drop) => return,
             Some(Cut::Hold) => {
@@ -1071,6 +1150,11 @@
             End::State => self.state_call(from, life, call),
             End::Cloud => {
                 let r = self.cloud_call(&call);
+                let hires = call.method == "POST" && call.target == "/machines";
+                if hires && r.status == 200 && self.lost_hires > 0 {
+                    self.lost_hires -= 1;
+                    return;
+                }
                 self.back(from, life, call.id, r, &to);
             }
             End::Node(n) => {
@@ -1131,6 +1215,7 @@
         if response.status == 503 && response.retry_after_s.is_none() {
             self.breaches.push("a 503 without Retry-After".into());
         }
+        self.check_refusal(ask, &id, response.status);
         let known = self.told.get(&id).copied();
         let asks_after = self.asks[ask].path != "/api/jobs";
         match response.status {
@@ -1178,8 +1263,12 @@
                     if ended(one) && ended(other) && one != other {
                         self.breaches.push(format!("went_back {id}: {one:?} and {other:?}"));
                     }
+                    let news = known.is_none() || ended(one) != ended(other);
                     if !ended(known) {
-                        self.told.insert(id, a.status);
+                        self.told.insert(id.clone(), a.status);
+                    }
+                    if news && self.close_looks {
+                        self.look_closely(&id);
                     }
                 }
             }
@@ -1270,6 +1359,13 @@
             if self.state.hold_steps && txn.apply.iter().any(step) {
                 return self.held.push((from, life, call));
             }
+            if let Some(what) = self.fate_of(&txn) {
+                match what {
+                    Unanswered::AtOnce => self.carry_out_late(from, txn),
+                    Unanswered::Late(ms) => self.after(ms, Msg::LateWrite { from, txn }),
+                }
+                return;
+            }
             if let Some(late) = self.state.late_writes {
                 if self.rng.random_bool(late.share) {
                     let ms = self.rng.random_range(late.from_ms..=late.to_ms);
@@ -1363,6 +1459,9 @@
         }
         self.check_epochs(&txn);
         self.check_steps(&txn);
+        if txn.apply.iter().any(|c| matches!(c, Change::Set { set, .. } if set == VIEW)) {
+            self.release_copies();
+        }
         if !txn.apply.is_empty() {
             self.state.rev += 1;
         }
@@ -1488,7 +1587,7 @@
 
     /// No share is ever written by an owner of an earlier view.
     fn check_epochs(&mut self, txn: &Transaction) {
-        use quartzgate_core::records::{read_share, View, SHARES, VIEW};
+        use quartzgate_core::records::{read_share, View, SHARES};
         let view = self.state.keys.get(VIEW).and_then(|(v, _, _)| v.deserialized::<View>().ok());
         let epoch = view.map_or(0, |v| v.epoch);
         for change in &txn.apply {
@@ -1538,7 +1637,7 @@
                     name: "k8".into(),
                     cpus: 8.0,
                     gpus: 0.0,
-                    memory_gb: 32.0,
+                    memory_gb: MEMORY_GB,
                     cache_gb: 50.0,
                     fetch_gb_per_s: 1.0,
                     price: 0.4,
@@ -1553,6 +1652,7 @@
                     .workers
                     .iter()
                     .filter(|(name, _)| !self.unlisted.contains(*name))
+                    .filter(|(_, w)| self.now >= w.born_ms + self.list_lag_ms)
                     .map(|(name, w)| ListedMachine {
                         name: name.clone(),
                         addr: addr_of(name),
@@ -1560,7 +1660,10 @@
                         zone: w.zone.clone(),
                         spot: w.spot,
                         status: CloudStatus::Running,
-                        age_s: 50.0,
+                        age_s: match self.list_lag_ms {
+                            0 => 50.0,
+                            _ => (self.now - w.born_ms) as f64 / 1e3 + 0.1,
+                        },
                     })
                     .collect();
                 Response::new(200, to_cbor(&MachineList { machines, more: false }))
@@ -1586,7 +1689,8 @@
                     let name = format!("vm-{:06}", self.next_machine);
                     self.next_machine += 1;
                     let zone = hire.zone.clone();
-                    self.after(3_000, Msg::Boot { machine: name.clone(), zone });
+                    let ms = self.rng.random_range(self.boot_ms.0..=self.boot_ms.1);
+                    self.after(ms, Msg::Boot { machine: name.clone(), zone });
                     machines.push(name);
                 }
                 self.hires.insert(hire.hire, machines.clone());
@@ -1647,12 +1751,18 @@
                 self.after(late, Msg::Copy { node, body: body.clone() });
             }
         }
+        if self.kept_copies > 0.0 && self.rng.random_bool(self.kept_copies) {
+            self.keep_copy(body.clone());
+        }
         // No answer within four seconds: the next node.
         self.after(
             4_000,
             Msg::Answer { worker: worker.clone(), sent_ms: now, status: 0, body: Vec::new() },
         );
         let end = End::Worker(worker.clone());
+        if self.mute.contains(&worker) {
+            return;
+        }
         if self.nodes[node].is_none() {
             return self
                 .after(1, Msg::Answer { worker, sent_ms: now, status: 1, body: Vec::new() });
@@ -1830,6 +1940,7 @@
                 self.breaches.push(format!("wrong_place {task}: {} in {zone}", there + 1));
             }
         }
+        self.check_place(name, &spec);
         let finished = self.done.get(job_id).is_some_and(|d| d.contains(&n));
         let run = match (finished, spec.shape) {
             (true, _) => 0,
@@ -1849,6 +1960,8 @@
             (TaskStatus::Exited, Some(Cause::NoRoom))
         } else if w.fails || mistaken {
             (TaskStatus::Exited, Some(Cause::Error))
+        } else if w.has_to_fetch(&spec, self.fetch_gb_per_s.is_some()) {
+            (TaskStatus::Fetching, None)
         } else if spec.shape == Shape::Gang {
             (TaskStatus::Waiting, None)
         } else {
@@ -1957,7 +2070,7 @@
         for (from, life, call) in inbox {
             self.worker_call(name, from, life, call);
         }
-        let mut changed = false;
+        let mut changed = self.fetch(name);
         let tasks: Vec<String> = self.workers[name].tasks.keys().cloned().collect();
         for t in tasks {
             let (job_id, n) = t.rsplit_once('/').unwrap();
@@ -2000,6 +2113,9 @@
                     let all: BTreeSet<u32> = (0..spec.tasks).collect();
                     self.done.insert(job_id.to_string(), all);
                 }
+                if self.done[job_id].len() == spec.tasks as usize {
+                    self.ended(job_id);
+                }
             }
             if next.status != held.status {
                 changed = true;
