A known job is never refused, whatever its repeat lacks; what no zone has room for is not taken

A table over every field of a submission, repeats and jobs that can't run, at leader, follower and one that has just begun. Refusals name the field. What is told after a read is looked at against what was learnt meanwhile.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -4,11 +4,13 @@
 //! A state that can still change is told only after a fresh read of the state
 //! service; an end never changes and may be told from memory.
 
+use std::collections::BTreeSet;
+
 use quartzgate_ladder::Feature;
 use quartzgate_wire::http::{Request, Response};
 use quartzgate_wire::msg::{
-    valid_job_id, Change, Forward, Guard, JobAnswer, JobSpec, JobStatus, MachineTypes, Pair, Shape,
-    Transaction, TransactionAnswer,
+    valid_job_id, Change, Forward, Guard, JobAnswer, JobSpec, JobStatus, MachineType, MachineTypes,
+    Pair, Shape, Transaction, TransactionAnswer,
 };
 use quartzgate_wire::{from_cbor, to_cbor};
 
@@ -74,7 +76,10 @@
         let work = match (method, rest.is_empty(), parts.as_slice()) {
             ("POST", true, _) => match parse_job(&body) {
                 Ok(spec) => UserWork::Submit(Box::new(spec), body),
-                Err(why) => return self.answer_error(id, 400, &why),
+                Err(why) => match named_job(&body) {
+                    Some(job) => UserWork::Malformed { job, why, body },
+                    None => return self.answer_error(id, 400, &why),
+                },
             },
             (_, true, _) => return self.answer_error(id, 405, "method not allowed"),
             ("GET", _, [job]) | ("POST", _, [job, "abort"]) => {
@@ -90,7 +95,7 @@
             _ => return self.answer_error(id, 404, "no such path"),
         };
         let span = match &work {
-            UserWork::Submit(..) => Span::Submit,
+            UserWork::Submit(..) | UserWork::Malformed { .. } => Span::Submit,
             UserWork::Poll(_) => Span::Poll,
             UserWork::Abort(_) => Span::Abort,
         };
@@ -118,7 +123,9 @@
     fn pass_on(&mut self, id: RequestId, at: usize, work: UserWork) {
         let mut message = self.mesh_message();
         let (method, path, body) = match &work {
-            UserWork::Submit(_, body) => ("POST", "/api/jobs".to_string(), body.clone()),
+            UserWork::Submit(_, body) | UserWork::Malformed { body, .. } => {
+                ("POST", "/api/jobs".to_string(), body.clone())
+            }
             UserWork::Poll(job) => ("GET", format!("/api/jobs/{job}"), Vec::new()),
             UserWork::Abort(job) => ("POST", format!("/api/jobs/{job}/abort"), Vec::new()),
         };
@@ -145,6 +152,10 @@
                         _ => {}
                     }
                 }
+                // Its end may have been learnt while the answer was on its way.
+                if let Some(status) = self.finals.get(work.id()) {
+                    return self.answer_final(id, work.id(), status);
+                }
                 let mut response = Response::new(r.status, r.body);
                 response.retry_after_s = r.retry_after_s;
                 self.answer(id, response);
@@ -178,6 +189,7 @@
         }
         match work {
             UserWork::Submit(spec, _) => self.consider(id, *spec),
+            UserWork::Malformed { job, why, .. } => self.refuse(id, job, 400, &why),
             UserWork::Poll(job) => self.poll(id, job),
             UserWork::Abort(job) => {
                 self.read_job(id, &job, Pending::AbortRead { request: id, id: job.clone() })
@@ -191,23 +203,23 @@
             Verdict::Fits => {}
             // A known job is never refused: what stands decides.
             Verdict::Never(why) => {
-                self.refuse(id, spec, 422, why);
+                self.refuse(id, spec.id, 422, why);
                 return None;
             }
             Verdict::Unknown => {
-                self.read_known(id, spec, None);
+                self.read_known(id, spec.id, None);
                 return None;
             }
         }
         if spec.dependencies.contains(&spec.id) {
-            self.refuse(id, spec, 422, "a job can't need itself");
+            self.refuse(id, spec.id, 422, "a job can't need itself");
             return None;
         }
         let record = self.job_record(spec);
         let small = checked_size(&record) <= self.value_most();
         let spec = record.spec?;
         if !small {
-            self.refuse(id, spec, 400, "too large to be kept: fewer prereqs or shorter names");
+            self.refuse(id, spec.id, 400, "too large to be kept: fewer prereqs or shorter names");
             return None;
         }
         Some(spec)
@@ -265,15 +277,15 @@
     }
 
     /// Looks whether a job is known before it is refused.
-    fn read_known(&mut self, id: RequestId, spec: JobSpec, refusal: Option<(u16, &'static str)>) {
-        let job = spec.id.clone();
-        let pending = Pending::Known { request: id, spec: Box::new(spec), refusal };
+    fn read_known(&mut self, id: RequestId, job: String, refusal: Option<(u16, String)>) {
+        let pending = Pending::Known { request: id, job: job.clone(), refusal };
         self.read_job(id, &job, pending);
     }
 
-    /// Refuses a submission, unless its job is known.
-    pub(crate) fn refuse(&mut self, id: RequestId, spec: JobSpec, status: u16, why: &'static str) {
-        self.read_known(id, spec, Some((status, why)));
+    /// Refuses a submission, unless its job is known: that one is told how it stands, whatever
+    /// the repeat says.
+    pub(crate) fn refuse(&mut self, id: RequestId, job: String, status: u16, why: &str) {
+        self.read_known(id, job, Some((status, why.to_string())));
     }
 
     pub(crate) fn job_record(&self, spec: JobSpec) -> JobRecord {
@@ -326,6 +338,11 @@
     fn decide(&mut self, id: RequestId, work: UserWork) {
         match work {
             UserWork::Submit(spec, _) => self.submit(id, *spec),
+            UserWork::Malformed { job, why, .. } => {
+                if !self.submitted_before(id, &job) {
+                    self.refuse(id, job, 400, &why)
+                }
+            }
             UserWork::Poll(job) => self.poll(id, job),
             UserWork::Abort(job) => match self.jobs.find(&job) {
                 Some(ix) => self.abort(id, ix),
@@ -337,23 +354,23 @@
     }
 
     fn submit(&mut self, id: RequestId, spec: JobSpec) {
-        if self.submitted_before(id, &spec) {
+        if self.submitted_before(id, &spec.id) {
             return;
         }
         self.consider(id, spec)
     }
 
     /// A job that memory knows: what stands is told.
-    fn submitted_before(&mut self, id: RequestId, spec: &JobSpec) -> bool {
-        if self.pages.unreadable(&spec.id) {
+    fn submitted_before(&mut self, id: RequestId, job: &str) -> bool {
+        if self.pages.unreadable(job) {
             self.answer_busy(id);
             return true;
         }
-        if let Some(job) = self.jobs.find(&spec.id).and_then(|ix| self.jobs.get(ix)) {
+        if let Some(known) = self.jobs.find(job).and_then(|ix| self.jobs.get(ix)) {
             // While the first submission is being recorded, a second can't be told more.
-            match job.state {
+            match known.state {
                 JobState::Recording => self.answer_busy(id),
-                _ => self.poll(id, spec.id.clone()),
+                _ => self.poll(id, job.to_string()),
             }
             return true;
         }
@@ -376,7 +393,7 @@
             return self.look_in_pages(&job, pending);
         }
         let now = self.now.steady_ms;
-        if self.submitted_before(id, &spec) {
+        if self.submitted_before(id, &spec.id) {
             return;
         }
         let Some(team) = self.cfg.team(&spec.team) else { return self.answer_busy(id) };
@@ -519,7 +536,12 @@
 
     pub(crate) fn on_poll_read(&mut self, id: RequestId, job: String, outcome: Outcome) {
         match self.read_outcome(outcome) {
-            Ok(None) => self.answer_error(id, 404, "no such job"),
+            // It may have been accepted, or have ended, while the record was read.
+            Ok(None) => match (self.finals.get(&job), self.jobs.find(&job)) {
+                (Some(status), _) => self.answer_final(id, &job, status),
+                (None, Some(_)) => self.answer_busy(id),
+                (None, None) => self.answer_error(id, 404, "no such job"),
+            },
             Ok(Some(pair)) => self.answer_record(id, &job, pair),
             Err(()) => self.answer_busy(id),
         }
@@ -574,21 +596,22 @@
     pub(crate) fn on_known(
         &mut self,
         id: RequestId,
-        spec: JobSpec,
-        refusal: Option<(u16, &'static str)>,
+        job: String,
+        refusal: Option<(u16, String)>,
         outcome: Outcome,
     ) {
         match self.read_outcome(outcome) {
             // It may have been accepted while the record was read.
-            Ok(None) if self.jobs.find(&spec.id).is_some() => self.answer_busy(id),
-            Ok(None) => match refusal {
-                Some((status, why)) => {
-                    tracing::info!(job = %spec.id, why, "refused");
-                    self.answer_error(id, status, why)
+            Ok(None) if self.jobs.find(&job).is_some() => self.answer_busy(id),
+            Ok(None) => match (self.finals.get(&job), refusal) {
+                (Some(status), _) => self.answer_final(id, &job, status),
+                (None, Some((status, why))) => {
+                    tracing::info!(job = %job, why, "refused");
+                    self.answer_error(id, status, &why)
                 }
-                None => self.answer_busy(id),
+                (None, None) => self.answer_busy(id),
             },
-            Ok(Some(pair)) => self.answer_record(id, &spec.id, pair),
+            Ok(Some(pair)) => self.answer_record(id, &job, pair),
             Err(()) => self.answer_busy(id),
         }
     }
@@ -862,18 +885,25 @@
         if self.types_at_ms.is_none() {
             return Verdict::Unknown;
         }
-        let fits = self.types.iter().any(|t| {
+        let fits = |t: &&MachineType| {
             spec.types.as_ref().is_none_or(|names| names.contains(&t.name))
-                && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
                 && t.cpus + 1e-6 >= spec.cpus
                 && t.gpus + 1e-6 >= spec.gpus
                 && t.memory_gb + 1e-6 >= spec.memory_gb
-        });
-        if fits {
-            Verdict::Fits
-        } else {
-            Verdict::Never("a task fits no allowed machine type")
+        };
+        let allowed = |z: &&String| spec.zone.as_ref().is_none_or(|zone| zone == *z);
+        let zones: BTreeSet<&String> =
+            self.types.iter().filter(fits).flat_map(|t| &t.zones).filter(allowed).collect();
+        if zones.is_empty() {
+            return Verdict::Never("a task fits no allowed machine type");
+        }
+        // What runs all at once needs a second zone for the other half; an array goes on with
+        // what may run.
+        let at_once = spec.shape != Shape::Array && spec.tasks > 1;
+        if at_once && spec.spread && (spec.together || zones.len() < 2) {
+            return Verdict::Never("its tasks may not all be in the only zone that they may be in");
         }
+        Verdict::Fits
     }
 }
 
@@ -881,11 +911,19 @@
     fn id(&self) -> &str {
         match self {
             UserWork::Submit(spec, _) => &spec.id,
+            UserWork::Malformed { job, .. } => job,
             UserWork::Poll(id) | UserWork::Abort(id) => id,
         }
     }
 }
 
+/// The job that a malformed submission names, if it names one.
+fn named_job(body: &[u8]) -> Option<String> {
+    let map = from_cbor::<ciborium::value::Value>(body).ok()?.into_map().ok()?;
+    let named = map.into_iter().find(|(key, _)| key.as_text() == Some("ref"))?.1;
+    named.into_text().ok().filter(|id| valid_job_id(id))
+}
+
 fn parse_job(body: &[u8]) -> Result<JobSpec, String> {
     let spec: JobSpec = from_cbor(body).map_err(|e| e.to_string())?;
     spec.check()?;
--- a/crates/core/src/chains.rs
+++ b/crates/core/src/chains.rs
@@ -491,7 +491,7 @@
             let walk = self.chains.walks.remove(&request);
             return match walk.map(|w| w.purpose) {
                 Some(Purpose::Admit(spec)) if admits => {
-                    self.refuse(request, *spec, 422, "a job in prereqs was never accepted")
+                    self.refuse(request, spec.id, 422, "a job in prereqs was never accepted")
                 }
                 _ => {
                     tracing::error!(job = %id, "the record of a job that others need is missing");
@@ -507,7 +507,7 @@
         if admits && record.is_service() {
             let walk = self.chains.walks.remove(&request);
             if let Some(Purpose::Admit(spec)) = walk.map(|w| w.purpose) {
-                self.refuse(request, *spec, 422, "a job in prereqs is a service");
+                self.refuse(request, spec.id, 422, "a job in prereqs is a service");
             }
             return;
         }
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -59,7 +59,7 @@
     AbortWrite { request: Option<RequestId>, job: JobIx, placed: Placed, epoch: u64 },
     AbortRead { request: RequestId, id: String },
     AbortAlone { request: RequestId, id: String },
-    Known { request: RequestId, spec: Box<JobSpec>, refusal: Option<(u16, &'static str)> },
+    Known { request: RequestId, job: String, refusal: Option<(u16, String)> },
     ChainRead { job: String, epoch: u64 },
     WalkRead { request: RequestId, job: String },
     FormatRead,
@@ -90,6 +90,12 @@
 #[derive(Clone, Debug)]
 pub(crate) enum UserWork {
     Submit(Box<JobSpec>, Vec<u8>),
+    /// A submission that names a job and is wrong in something else: refused unless it is known.
+    Malformed {
+        job: String,
+        why: String,
+        body: Vec<u8>,
+    },
     Poll(String),
     Abort(String),
 }
@@ -377,8 +383,8 @@
             }
             Pending::AbortRead { request, id } => self.on_abort_read(request, id, outcome),
             Pending::AbortAlone { request, id } => self.on_abort_alone(request, id, outcome),
-            Pending::Known { request, spec, refusal } => {
-                self.on_known(request, *spec, refusal, outcome)
+            Pending::Known { request, job, refusal } => {
+                self.on_known(request, job, refusal, outcome)
             }
             Pending::WalkRead { request, job } => self.on_walk_read(request, job, outcome),
             Pending::FormatRead => self.on_format_read(outcome),
--- a/crates/core/tests/stories/main.rs
+++ b/crates/core/tests/stories/main.rs
@@ -4,6 +4,7 @@
 mod chains;
 mod hearing;
 mod inline;
+mod input;
 mod largest;
 mod meetings;
 mod moments;
--- a/crates/core/tests/stories/moments.rs
+++ b/crates/core/tests/stories/moments.rs
@@ -99,7 +99,7 @@
         w.run_ms.insert(format!("{}/0", name(n)), 1_500 + u64::from(n) * 900);
         w.run_ms.insert(format!("{}/1", name(n)), 14_000 + u64::from(n) * 500);
     }
-    let off = |at: usize| (at as u64 + case) % 3 == 0;
+    let off = |at: usize| (at as u64 + case).is_multiple_of(3);
     let mut asks: Vec<Option<usize>> = vec![None; jobs.len()];
     let mut aborts: Vec<Option<usize>> = vec![None; jobs.len()];
     let answered =
@@ -239,7 +239,8 @@
         day(&mut w, case, |w, turn| {
             if turn % 50 == 10 {
                 let late = 2_000 + case * 97 % 9_000;
-                let what = if how % 2 == 0 { Unanswered::AtOnce } else { Unanswered::Late(late) };
+                let what =
+                    if how.is_multiple_of(2) { Unanswered::AtOnce } else { Unanswered::Late(late) };
                 w.state.fates = vec![Fate { prefix, what, left: 3 }];
             }
             // An election, and the lease's key of one that is back.
--- a/crates/core/tests/stories/world.rs
+++ b/crates/core/tests/stories/world.rs
@@ -5,6 +5,8 @@
 mod checks;
 mod troubles;
 
+pub use troubles::without;
+
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 
 use ciborium::value::Value;
@@ -739,7 +741,7 @@
         let ask = self.asks.len();
         let mut parts = path.split('/');
         let told = match path {
-            "/api/jobs" => from_cbor::<JobSpec>(&body).ok().map(|s| s.id),
+            "/api/jobs" => named_in(&body),
             _ => parts.nth(3).map(String::from),
         };
         let told = told.and_then(|id| self.told.get(&id).copied());
@@ -1207,9 +1209,7 @@
             return;
         }
         let id = match self.asks[ask].path.as_str() {
-            "/api/jobs" => {
-                from_cbor::<JobSpec>(&self.asks[ask].body).map(|s| s.id).unwrap_or_default()
-            }
+            "/api/jobs" => named_in(&self.asks[ask].body).unwrap_or_default(),
             path => path.split('/').nth(3).unwrap_or("").to_string(),
         };
         if response.status == 503 && response.retry_after_s.is_none() {
@@ -2128,6 +2128,13 @@
     }
 }
 
+/// The job that a submission names, be it malformed.
+fn named_in(body: &[u8]) -> Option<String> {
+    let map = from_cbor::<Value>(body).ok()?.into_map().ok()?;
+    let named = map.into_iter().find(|(key, _)| key.as_text() == Some("ref"))?.1;
+    named.into_text().ok()
+}
+
 fn addr_of(name: &str) -> String {
     let n: u32 = name.trim_start_matches("vm-").parse().unwrap();
     format!("10.2.{}.{}:9000", n / 250, n % 250 + 1)
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -124,42 +124,42 @@
 /// No amount on the wire is sensibly above this.
 const MAX_AMOUNT: f64 = 1e9;
 const MAX_TEXT: usize = 128;
+/// Machine types that a job may name.
+const MAX_TYPES: usize = 64;
 
 impl JobSpec {
-    /// Says what is wrong with a job whatever the cluster looks like.
-    pub fn check(&self) -> Result<(), &'static str> {
+    /// Says what is wrong with a job whatever the cluster looks like, and in which field.
+    pub fn check(&self) -> Result<(), String> {
         if !valid_job_id(&self.id) {
-            return Err("malformed ref");
+            return Err("ref: not of the form wk- and digits".into());
         }
         if self.tasks == 0 || self.tasks > MAX_TASKS {
-            return Err("pieces out of range");
+            return Err(format!("pieces: {} is not from 1 to {MAX_TASKS}", self.tasks));
         }
         let amounts = [
-            self.cpus,
-            self.gpus,
-            self.memory_gb,
-            self.image_gb,
-            self.estimate_s,
-            self.checkpoint_s,
-            self.save_s,
-            self.deadline_s.unwrap_or(0.0),
+            ("vcpus", self.cpus),
+            ("gpus", self.gpus),
+            ("ram_gb", self.memory_gb),
+            ("image_gb", self.image_gb),
+            ("expected_s", self.estimate_s),
+            ("snapshot_every_s", self.checkpoint_s),
+            ("snapshot_cost_s", self.save_s),
+            ("due_s", self.deadline_s.unwrap_or(0.0)),
         ];
-        if !amounts.iter().all(|a| (0.0..=MAX_AMOUNT).contains(a)) {
-            return Err("an amount is out of range");
+        if let Some((name, a)) = amounts.iter().find(|(_, a)| !(0.0..=MAX_AMOUNT).contains(a)) {
+            return Err(format!("{name}: {a} is not from 0 to {MAX_AMOUNT}"));
         }
-        let texts = [&self.class, &self.team, &self.image];
-        if texts.iter().any(|t| t.is_empty() || t.len() > MAX_TEXT) {
-            return Err("a name is empty or too long");
+        let types = self.types.iter().flatten().map(|t| ("host_types", t));
+        let texts = [("job_class", &self.class), ("owner", &self.team), ("bundle", &self.image)];
+        let mut texts = texts.into_iter().chain(self.zone.iter().map(|z| ("hall", z))).chain(types);
+        if let Some((name, _)) = texts.find(|(_, t)| t.is_empty() || t.len() > MAX_TEXT) {
+            return Err(format!("{name}: empty, or longer than {MAX_TEXT}"));
         }
-        if self.types.iter().flatten().chain(&self.zone).any(|t| t.is_empty() || t.len() > MAX_TEXT)
-        {
-            return Err("a constraint's name is empty or too long");
-        }
-        if self.types.as_ref().is_some_and(|t| t.len() > 64) {
-            return Err("too many host types");
+        if self.types.as_ref().is_some_and(|t| t.len() > MAX_TYPES) {
+            return Err(format!("host_types: more than {MAX_TYPES}"));
         }
         if !self.dependencies.iter().all(|d| valid_job_id(d)) {
-            return Err("malformed ref in prereqs");
+            return Err("prereqs: a ref is not of the form wk- and digits".into());
         }
         Ok(())
     }
