A removal takes only the note that was seen; acceptances without an answer are looked for

A leader's late removal could take away a newer note (an abort), which a watch that is told 410 then never showed; the inbox is read whole after a 410, some at a time. An acceptance whose answer alone was lost was known to everybody but the leader until somebody asked there.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -483,7 +483,7 @@
             return;
         }
         // Not recorded as far as we know: memory forgets it. Should the write come to
-        // stand later, the job is found by its next poll, retry, or a takeover.
+        // stand later, the job is found by its next poll or retry, or by looking for it.
         let job_id = self.jobs.get(ix).map(|j| j.id.clone()).unwrap_or_default();
         self.drop_job(ix);
         match outcome {
@@ -500,7 +500,11 @@
                 self.state_busy(r.status);
                 self.answer_busy(id)
             }
-            _ => self.answer_busy(id),
+            Outcome::NotSent => self.answer_busy(id),
+            Outcome::Lost => {
+                self.doubt_acceptance(job_id);
+                self.answer_busy(id)
+            }
         }
     }
 
@@ -819,10 +823,10 @@
     }
 
     /// What was recorded past the leader.
-    pub(crate) fn on_inbox(&mut self, path: &str, value: &ciborium::value::Value) {
+    pub(crate) fn on_inbox(&mut self, path: &str, value: &ciborium::value::Value, stamp: u64) {
         let Some(job) = path.strip_prefix(INBOX).filter(|j| valid_job_id(j)) else { return };
         let aborted = decode::<bool>(value).unwrap_or(false);
-        self.store.clear_inbox(path.to_string());
+        self.store.remove_note(path.to_string(), stamp);
         if aborted {
             // The abort stands in the same transaction.
             self.abort_stands(job);
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -49,6 +49,7 @@
     Elect { epoch: u64 },
     InboxWatch { sent_ms: u64, epoch: u64 },
     InboxRead { job: String, epoch: u64 },
+    InboxList { rev: Option<u64>, epoch: u64 },
     Restore { epoch: u64 },
     Orders { machine: MachineIx, token: u64, starts: Vec<(TaskKey, u64)> },
     Inspect { machine: MachineIx, epoch: u64 },
@@ -192,6 +193,8 @@
     /// Reads of records that failed and are tried again.
     pub(crate) store_retry: Vec<FlushItem>,
     pub(crate) inbox_again: Vec<String>,
+    /// Jobs whose acceptance got no answer, and until when they are looked for.
+    pub(crate) doubted: BTreeMap<String, u64>,
     /// Reports whose workers were sent elsewhere.
     pub(crate) let_go: u64,
     /// Room that is kept for gangs, by machine.
@@ -259,6 +262,7 @@
             second_at_ms: 0,
             store_retry: Vec::new(),
             inbox_again: Vec::new(),
+            doubted: BTreeMap::new(),
             let_go: 0,
             held: BTreeMap::new(),
             copies_dropped: 0,
@@ -428,6 +432,7 @@
             | Pending::PageWrite { epoch, .. }
             | Pending::PageRead { epoch, .. }
             | Pending::InboxRead { epoch, .. }
+            | Pending::InboxList { epoch, .. }
             | Pending::ReadAgain { epoch, .. }
             | Pending::ChainRead { epoch, .. }
             | Pending::Inspect { epoch, .. }
@@ -444,6 +449,7 @@
             Pending::PageWrite { number, .. } => self.on_page_write(number, outcome),
             Pending::PageRead { number, .. } => self.on_page_read(number, outcome),
             Pending::InboxRead { job, .. } => self.on_inbox_read(job, outcome),
+            Pending::InboxList { rev, .. } => self.on_inbox_list(rev, outcome),
             Pending::Orders { machine, token, starts } => {
                 if crate::ids::epoch_of(token) == current {
                     self.on_orders_outcome(machine, token, starts, outcome)
@@ -527,6 +533,7 @@
         self.attempts = 0;
         self.store_retry.clear();
         self.inbox_again.clear();
+        self.doubted.clear();
         self.held.clear();
         self.clear_post();
     }
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -852,7 +852,7 @@
         if r.status == 410 {
             // Too much has changed meanwhile: what stands in the inbox is read whole.
             self.state_answered();
-            return self.reread_inbox();
+            return self.reread_inbox(None, None);
         }
         if r.status != 200 {
             return;
@@ -864,26 +864,39 @@
         self.prove_contact();
         for change in log.log {
             if let (Some(path), Some(value)) = (change.set, change.value) {
-                self.on_inbox(&path, &value);
+                self.on_inbox(&path, &value, change.stamp);
             }
         }
         self.watch_inbox();
     }
 
-    pub(crate) fn reread_inbox(&mut self) {
+    /// Reads what stands in the inbox, some at a time; it is watched again from where that began.
+    fn reread_inbox(&mut self, since: Option<String>, rev: Option<u64>) {
         self.member.inbox = WatchState::Reading;
-        let pending = Pending::InboxRead { job: String::new(), epoch: self.epoch() };
-        self.state_call("GET", format!("/keys?starts={INBOX}&most=1000"), Vec::new(), pending);
+        let since = since.map_or(String::new(), |s| format!("&since={s}"));
+        let target = format!("/keys?starts={INBOX}&most=1000{since}");
+        let pending = Pending::InboxList { rev, epoch: self.epoch() };
+        self.state_call("GET", target, Vec::new(), pending);
     }
 
-    pub(crate) fn inbox_reread_done(&mut self, rev: Option<u64>) {
-        match rev {
-            Some(rev) => {
-                self.member.inbox_rev = rev;
-                self.member.inbox = WatchState::Idle;
-            }
-            None => self.member.inbox = WatchState::Idle,
+    pub(crate) fn on_inbox_list(&mut self, rev: Option<u64>, outcome: Outcome) {
+        let list = match outcome {
+            Outcome::Answer(r) if r.status == 200 => from_cbor::<PairList>(&r.body).ok(),
+            _ => None,
+        };
+        // Without an answer the watch that is told 410 once more begins it anew.
+        let Some(list) = list else { return self.member.inbox = WatchState::Idle };
+        self.state_answered();
+        let rev = rev.unwrap_or(list.ledger_rev);
+        let last = list.pairs.last().map(|p| p.path.clone()).filter(|_| list.more);
+        for pair in list.pairs {
+            self.on_inbox(&pair.path, &pair.value, pair.stamp);
         }
+        if last.is_some() {
+            return self.reread_inbox(last, Some(rev));
+        }
+        self.member.inbox_rev = rev;
+        self.member.inbox = WatchState::Idle;
     }
 
     pub(crate) fn inbox_from(&mut self, rev: u64) {
--- a/crates/core/src/pages/mod.rs
+++ b/crates/core/src/pages/mod.rs
@@ -630,7 +630,7 @@
             let free = page.members.is_empty() && page.state == PageState::Stands && !page.sealed;
             if free && number < self.pages.last {
                 self.pages.map.remove(&number);
-                self.store.clear_inbox(page_key(number));
+                self.store.remove(page_key(number));
             }
         }
     }
--- a/crates/core/src/restore.rs
+++ b/crates/core/src/restore.rs
@@ -58,6 +58,8 @@
     }
 }
 
+/// Acceptances without an answer that are looked for at a time.
+const DOUBTED_MOST: usize = 500;
 /// Items asked for at a time.
 const PAGE: u32 = 500;
 
@@ -114,7 +116,7 @@
                 return self.role_to(Role::Follower);
             }
         }
-        self.restore.rev.get_or_insert(list.ledger_rev);
+        let read_from = *self.restore.rev.get_or_insert(list.ledger_rev);
         let last = list.pairs.last().map(|p| p.path.clone());
         let phase = self.restore.phase;
         let mut shares = std::mem::take(&mut self.restore.partial);
@@ -150,7 +152,7 @@
                     }
                     let Some(ix) = self.share_job(id) else {
                         // Its job has ended: only the room it takes up matters.
-                        self.store.clear_inbox(pair.path);
+                        self.store.remove(pair.path);
                         continue;
                     };
                     let read = read_share(&pair.path, &pair.value, pair.stamp);
@@ -158,7 +160,9 @@
                         self.broken_share(ix, &pair.path);
                     }
                 }
-                Phase::Inbox => self.store.clear_inbox(pair.path),
+                // What was noted while we read comes by the watch, and goes then.
+                Phase::Inbox if pair.stamp > read_from => {}
+                Phase::Inbox => self.store.remove_note(pair.path, pair.stamp),
             }
         }
         for (ix, chunks) in shares {
@@ -330,7 +334,7 @@
         // Folded into the job's record already: counted once, and cleared away.
         if job.in_done_chunk(chunk * CHUNK) {
             let paths: Vec<String> = piece_keys(&job.id, chunk, of).collect();
-            return paths.into_iter().for_each(|p| self.store.clear_inbox(p));
+            return paths.into_iter().for_each(|p| self.store.remove(p));
         }
         let (len, zone_rule) = (job.chunk_len(chunk), job.spec.together);
         let mut fresh = self.new_chunk(len);
@@ -498,19 +502,8 @@
         self.deal_due = true;
     }
 
-    /// A job recorded past the leader, or the whole inbox after a gap.
+    /// A job recorded past the leader, or one whose acceptance got no answer.
     pub(crate) fn on_inbox_read(&mut self, job: String, outcome: Outcome) {
-        if job.is_empty() {
-            let list = match outcome {
-                Outcome::Answer(r) if r.status == 200 => from_cbor::<PairList>(&r.body).ok(),
-                _ => None,
-            };
-            let rev = list.as_ref().map(|l| l.ledger_rev);
-            for pair in list.into_iter().flat_map(|l| l.pairs) {
-                self.on_inbox(&pair.path, &pair.value);
-            }
-            return self.inbox_reread_done(rev);
-        }
         match self.read_outcome(outcome) {
             Ok(Some(pair)) => match decode::<JobRecord>(&pair.value) {
                 Some(record) => {
@@ -525,7 +518,33 @@
         }
     }
 
+    /// The write that accepts a job got no answer. Should it stand, now or later, others may tell
+    /// that the job is accepted, and it has to run: it is looked for, for as long as the horizon.
+    pub(crate) fn doubt_acceptance(&mut self, job: String) {
+        let until = self.now.steady_ms + self.cfg.horizon_ms();
+        if self.doubted.len() < DOUBTED_MOST {
+            self.doubted.insert(job, until);
+        }
+    }
+
+    fn look_for_doubted(&mut self) {
+        let now = self.now.steady_ms;
+        let (jobs, finals) = (&self.jobs, &self.finals);
+        self.doubted.retain(|job, until| {
+            now < *until && jobs.find(job).is_none() && finals.get(job).is_none()
+        });
+        for job in self.doubted.keys().cloned().collect::<Vec<_>>() {
+            if !self.may_read_to_tell() {
+                return;
+            }
+            let target = format!("/keys/{}", job_key(&job));
+            let pending = Pending::InboxRead { job, epoch: self.epoch() };
+            self.state_call("GET", target, Vec::new(), pending);
+        }
+    }
+
     pub(crate) fn retry_inbox(&mut self) {
+        self.look_for_doubted();
         for job in std::mem::take(&mut self.inbox_again) {
             let target = format!("/keys/{}", job_key(&job));
             let pending = Pending::InboxRead { job, epoch: self.epoch() };
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -16,7 +16,7 @@
 use crate::jobs::{Chunk, Job, JobState, TaskState};
 use crate::records::{
     decode, encode, job_key, piece_keys, read_share, share_key, GatheredShare, JobRecord,
-    RecordedStatus, VIEW,
+    RecordedStatus, INBOX, VIEW,
 };
 use crate::shares::Placed;
 use crate::Outcome;
@@ -31,16 +31,11 @@
         placed: Placed,
     },
     /// The job's end, together with the removal of its shares.
-    End {
-        job: JobIx,
-        chunks: Vec<u32>,
-    },
+    End { job: JobIx, chunks: Vec<u32> },
     /// Chunks all of whose tasks are done are folded into the job's record.
-    Fold {
-        job: JobIx,
-        chunks: Vec<u32>,
-    },
-    Inbox(String),
+    Fold { job: JobIx, chunks: Vec<u32> },
+    /// A key that has no use any more; one with a stamp goes only as it was seen.
+    Removal { path: String, stamp: u64 },
 }
 
 /// What waits for a chunk's record, most urgent first.
@@ -103,7 +98,8 @@
     dirty: BTreeSet<(JobIx, u32)>,
     /// Jobs whose own record may have to be written.
     jobs: BTreeSet<JobIx>,
-    inbox: BTreeSet<String>,
+    /// Keys that have no use any more, and the stamps of those that may be written anew.
+    removals: BTreeMap<String, u64>,
     flushing: bool,
     /// When the oldest unwritten change was made.
     since_ms: Option<u64>,
@@ -161,7 +157,7 @@
             spent: BTreeMap::new(),
             dirty: BTreeSet::new(),
             jobs: BTreeSet::new(),
-            inbox: BTreeSet::new(),
+            removals: BTreeMap::new(),
             flushing: false,
             since_ms: None,
             looked_ms: 0,
@@ -212,8 +208,15 @@
         self.urgent = true;
     }
 
-    pub fn clear_inbox(&mut self, path: String) {
-        self.inbox.insert(path);
+    /// A key that nobody writes again is to go.
+    pub fn remove(&mut self, path: String) {
+        self.removals.insert(path, 0);
+    }
+
+    /// A note is to go as it was seen: a newer one in its place stays.
+    pub fn remove_note(&mut self, path: String, stamp: u64) {
+        let newest = self.removals.entry(path).or_default();
+        *newest = stamp.max(*newest);
     }
 }
 
@@ -235,7 +238,7 @@
         let now = self.now.steady_ms;
         let nothing = self.store.dirty.is_empty()
             && self.store.jobs.is_empty()
-            && self.store.inbox.is_empty();
+            && self.store.removals.is_empty();
         if self.store.flushing || nothing || now < self.store.looked_ms + self.cfg.batch_ms() / 10 {
             return;
         }
@@ -363,17 +366,21 @@
         // Guests' ends use what is spare, as their deals do.
         let spare = self.store.writes.room(now, Urgency::Guest.reserve()) as usize;
         self.gather_ends(true, &mut txn, &mut items, room.min(spare), &mut bytes);
-        let inbox: Vec<String> = self.store.inbox.iter().cloned().collect();
-        for path in inbox {
+        let removals: Vec<(String, u64)> =
+            self.store.removals.iter().map(|(p, s)| (p.clone(), *s)).collect();
+        for (path, stamp) in removals {
             let enough = self.store.singly > 0 && !items.is_empty();
             let left = self.store.writes.room(now, UNHURRIED) as usize;
             if enough || txn.apply.len() >= room.min(left) {
                 break;
             }
+            if stamp > 0 {
+                txn.guards.push(Guard { path: path.clone(), stamp });
+            }
             txn.apply.push(Change::Delete { delete: path.clone() });
             self.store.note(Purpose::Tidy, 1);
-            self.store.inbox.remove(&path);
-            items.push(FlushItem::Inbox(path));
+            self.store.removals.remove(&path);
+            items.push(FlushItem::Removal { path, stamp });
         }
         if items.is_empty() {
             // What is left is patient, or has to wait for something under way.
@@ -551,7 +558,7 @@
                     FlushItem::End { job, .. } | FlushItem::Fold { job, .. } => {
                         self.put_off(*job, None)
                     }
-                    FlushItem::Inbox(_) => continue,
+                    FlushItem::Removal { .. } => continue,
                 }
             }
             self.unwritten(item);
@@ -610,8 +617,7 @@
                     tracing::info!("superseded: a write met a later view");
                     return self.superseded();
                 }
-                tracing::info!(failed = ?a.failed, "a write met a changed record; reading it");
-                items.into_iter().for_each(|i| self.restamp(i));
+                self.met_a_change(items, &a.failed);
             }
             (400, _) => {
                 self.state_answered();
@@ -629,6 +635,28 @@
         }
     }
 
+    /// Nothing of a write was executed, since these keys are not as they were. A note that has
+    /// changed stays: it is gone already, or what took its place will be heard of.
+    fn met_a_change(&mut self, items: Vec<FlushItem>, failed: &[String]) {
+        let (notes, others): (Vec<_>, Vec<_>) =
+            items.into_iter().partition(|i| matches!(i, FlushItem::Removal { .. }));
+        for note in notes {
+            if !matches!(&note, FlushItem::Removal { path, .. } if failed.contains(path)) {
+                self.unwritten(note);
+            }
+        }
+        let records = failed.iter().any(|path| !path.starts_with(INBOX));
+        if records {
+            tracing::info!(?failed, "a write met a changed record; reading it");
+        }
+        for item in others {
+            match records {
+                true => self.restamp(item),
+                false => self.unwritten(item),
+            }
+        }
+    }
+
     fn written(&mut self, item: FlushItem, rev: u64) {
         match item {
             FlushItem::Chunk { job, chunk, placed } => {
@@ -669,7 +697,7 @@
                 self.store.touch_job(job);
                 self.deal_due = true;
             }
-            FlushItem::Inbox(_) => {}
+            FlushItem::Removal { .. } => {}
         }
     }
 
@@ -683,7 +711,7 @@
             .flat_map(|(n, c)| piece_keys(&j.id, *n, c.pieces))
             .collect();
         for p in paths {
-            self.store.clear_inbox(p);
+            self.store.remove(p);
         }
         self.drop_job(job);
     }
@@ -709,14 +737,14 @@
                 }
                 self.store.touch_job(job);
             }
-            FlushItem::Inbox(path) => self.store.clear_inbox(path),
+            FlushItem::Removal { path, stamp } => self.store.remove_note(path, stamp),
         }
     }
 
     /// Reads a record whose stamp is no longer sure.
     pub(crate) fn restamp(&mut self, item: FlushItem) {
-        if let FlushItem::Inbox(path) = &item {
-            return self.store.clear_inbox(path.clone());
+        if let FlushItem::Removal { path, stamp } = item {
+            return self.store.remove_note(path, stamp);
         }
         // Shares that an end or a fold removes are looked at as well.
         if let FlushItem::End { job, chunks } | FlushItem::Fold { job, chunks } = &item {
@@ -745,7 +773,7 @@
             FlushItem::End { job, .. } | FlushItem::Fold { job, .. } => {
                 self.jobs.get(*job).map(|j| job_key(&j.id))
             }
-            FlushItem::Inbox(_) => None,
+            FlushItem::Removal { .. } => None,
         };
         let Some(path) = path else { return };
         let pending = Pending::Restamp { item, epoch: self.epoch() };
@@ -818,7 +846,7 @@
                     RecordedStatus::Live => self.read_live(job),
                 }
             }
-            FlushItem::Inbox(_) => {}
+            FlushItem::Removal { .. } => {}
         }
     }
 
--- a/crates/core/tests/stories/moments.rs
+++ b/crates/core/tests/stories/moments.rs
@@ -547,3 +547,106 @@
         });
     }
 }
+
+/// A leader that has the state service and its workers, and no sibling.
+fn alone(w: &mut World) -> (usize, [usize; 2]) {
+    let leader = w.leader().unwrap();
+    let others = [(leader + 1) % 3, (leader + 2) % 3];
+    others.iter().for_each(|n| w.cut(End::Node(leader), End::Node(*n), Cut::Drop));
+    (leader, others)
+}
+
+/// Guards an accepted job against being known to everybody but the leader: the answer to its
+/// acceptance alone is lost, at once or with the write carried out late; the user repeats at the
+/// others, which the leader does not hear, is told that the job is accepted, and asks only them.
+#[test]
+fn an_acceptance_without_an_answer_is_found() {
+    for case in 0..24u64 {
+        let mut w = world(4, 0.0, 14_900 + case);
+        w.paged = case % 3 == 0;
+        w.start_anew();
+        w.until(20_000, "all steps are taken", |w| w.stands().version >= 4 && w.leader().is_some());
+        w.run(1_000);
+        w.run_ms = [(name(1), 600_000)].into();
+        let (leader, others) = alone(&mut w);
+        let late = 1_500 + case * 200;
+        let what = if case % 2 == 0 { Unanswered::AtOnce } else { Unanswered::Late(late) };
+        let prefix = if w.paged { "pages/" } else { "jobs/" };
+        w.state.fates = vec![Fate { prefix, what, left: 1 }];
+        let spec = job(&name(1), Shape::Array, 2);
+        w.submit(leader, &spec);
+        w.run(200 + late);
+        for turn in 0..20 {
+            let ask = w.submit(others[turn % 2], &spec);
+            w.run(900);
+            if matches!(w.status(ask), 200 | 201) {
+                break;
+            }
+        }
+        assert!(w.told.contains_key(&name(1)), "case {case}: it is accepted");
+        let until = w.now + 10_000;
+        while w.now < until && w.on(&name(1)).len() < 2 {
+            w.poll(others[case as usize % 2], &name(1));
+            w.run(500);
+        }
+        assert_eq!(w.on(&name(1)).len(), 2, "case {case}: it runs while the leader hears nobody");
+        assert_eq!(w.leader(), Some(leader));
+        w.heal();
+        w.all_is_well();
+    }
+}
+
+/// Guards a note in the inbox that has taken another's place (claim 12): the leader's removal of
+/// the first gets no answer, is sent again, and is carried out late; the watch that would have shown the second is told 410.
+#[test]
+fn a_note_that_took_anothers_place_is_read() {
+    let mut read = 0;
+    for case in 0..24u64 {
+        let mut w = world(4, 0.0, 14_950 + case);
+        w.run_ms = [(name(1), 600_000)].into();
+        let (leader, others) = alone(&mut w);
+        w.run(1_500);
+        let spec = job(&name(1), Shape::Array, 2);
+        let note = "inbox/wk-000001";
+        for turn in 0..4_000 {
+            if turn % 1_200 == 0 {
+                w.submit(others[0], &spec);
+            }
+            w.run(1);
+            if w.state.keys.contains_key(note) {
+                break;
+            }
+        }
+        // The leader has heard of it, and its removal gets no answer.
+        let late = 4_000 + case * 30;
+        w.state.fates = vec![Fate { prefix: "inbox/", what: Unanswered::Late(late), left: 1 }];
+        for _ in 0..4_000 {
+            if w.state.fates[0].left == 0 {
+                break;
+            }
+            w.run(1);
+        }
+        let removal = w.now;
+        w.until(3_000, "it runs", |w| w.on(&name(1)).len() == 2);
+        assert_eq!(w.state.fates[0].left, 0, "case {case}: the removal got no answer");
+        w.run((removal + late - 700).saturating_sub(w.now));
+        w.state.refuses.insert(leader);
+        let ask = w.abort(others[1], &name(1));
+        w.run(400);
+        if w.status(ask) != 200 {
+            continue;
+        }
+        w.run(1_200);
+        w.state.keeps_changes = Some(1);
+        w.state.refuses.clear();
+        let healed = w.now;
+        w.until(CANCEL_MS, "its tasks are gone", |w| w.on(&name(1)).is_empty());
+        assert!(w.now < healed + 1_200, "case {case}: gone after {} ms", w.now - healed);
+        read += 1;
+        w.state.keeps_changes = None;
+        w.heal();
+        w.run(CANCEL_MS);
+        w.all_is_well();
+    }
+    assert!(read > 8, "{read} notes took another's place");
+}
--- a/crates/core/tests/stories/world.rs
+++ b/crates/core/tests/stories/world.rs
@@ -214,6 +214,8 @@
     /// Writes that were refused for their size, and for their rate.
     pub too_large: u64,
     pub too_many: u64,
+    /// So many changes are kept; who asks for earlier ones is told 410.
+    pub keeps_changes: Option<u64>,
     /// Keys in one answer at most.
     pub page: Option<usize>,
     pub late_writes: Option<LateWrites>,
@@ -1419,6 +1421,10 @@
         } else {
             let since: u64 = arg("since").unwrap().parse().unwrap();
             let block: u64 = arg("block_ms").unwrap().parse().unwrap();
+            if self.state.keeps_changes.is_some_and(|n| since + n < self.state.rev) {
+                let gone = Response::new(410, Vec::new());
+                return self.back(from, life, call.id, gone, &End::State);
+            }
             return self.watch(from, life, call.id, arg("starts").unwrap(), since, now + block);
         };
         self.back(from, life, call.id, response, &End::State);
