What somebody else has stopped is not started again before its record has been read

A leader that the state service refuses and its siblings don't reach saw tasks that a keeper had stopped for a confirmed cancellation, and started them again. Story; the world checks that nobody starts what it has told to be cancelled.

--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -320,6 +320,7 @@
             self.tick_cloud();
             self.drain();
             self.retry_reads();
+            self.read_unsure();
             self.retry_inbox();
             self.retry_pages();
             self.deal_due = true;
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -319,6 +319,7 @@
     pub(crate) fn startable(&self, job: &Job, key: TaskKey, task: &Task, ix: MachineIx) -> bool {
         let Some(chunk) = job.chunks.get(&(key.task / crate::records::CHUNK)) else { return false };
         job.state == JobState::Live
+            && !job.unsure
             && task.state == TaskState::Waiting
             && task.not_before_ms <= self.now.steady_ms
             && job.may_try(self.now.steady_ms)
--- a/crates/core/src/gang.rs
+++ b/crates/core/src/gang.rs
@@ -243,7 +243,7 @@
         }
         let mut all = Room::default();
         all.add(&need, places.len() as f64);
-        if !self.may_start(job.team, &all) {
+        if job.unsure || !self.may_start(job.team, &all) {
             return true;
         }
         let attempt = self.next_attempt();
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -154,6 +154,8 @@
     pub done_chunks: Vec<(u32, u32)>,
     /// A write or a read of the job's own record is under way.
     pub busy: bool,
+    /// Somebody else has stopped a task of it: its record is read before another starts.
+    pub unsure: bool,
     /// Page that holds it, unless it has a record of its own.
     pub page: Option<u64>,
     /// It is in a page and is to get a record of its own.
@@ -346,6 +348,7 @@
             chunks: BTreeMap::new(),
             done_chunks: Vec::new(),
             busy: false,
+            unsure: false,
             page: None,
             own: false,
             zone: None,
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -681,6 +681,11 @@
                     self.task_failed(ix, key);
                     self.task_off(key);
                 }
+                // Not by our command: who else may stop it knows that its job has ended.
+                Some(Cause::Stopped) if !matches!(state, TaskState::Stopping { .. }) => {
+                    self.read_before_starts(job_ix);
+                    self.task_off(key);
+                }
                 Some(Cause::NoRoom) => {
                     let until = self.now.steady_ms + self.cfg.report_ms();
                     if let Some(m) = self.machines.get_mut(ix) {
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -862,11 +862,31 @@
             }
             return;
         }
+        if let Some(j) = self.jobs.get_mut(job) {
+            j.unsure = false;
+        }
         self.job_to(job, JobState::Live);
         self.store.touch_job(job);
         self.touch_probed(job);
     }
 
+    /// Nothing of a job is to start before its record has been read.
+    pub(crate) fn read_before_starts(&mut self, job: JobIx) {
+        let Some(j) = self.jobs.get_mut(job).filter(|j| j.state == JobState::Live) else { return };
+        j.unsure = true;
+        if !j.busy {
+            self.restamp_job(job);
+        }
+    }
+
+    /// Those whose records were under way when they were to be read.
+    pub(crate) fn read_unsure(&mut self) {
+        let open = self.jobs.iter().filter(|(_, j)| j.unsure && !j.busy && j.state.lives());
+        for ix in open.map(|(ix, _)| ix).collect::<Vec<_>>() {
+            self.restamp_job(ix);
+        }
+    }
+
     /// The read failed: it is tried again with the next round of the lease.
     fn restamp_again(&mut self, item: FlushItem) {
         self.store_retry.push(item);
--- a/crates/core/tests/stories/moments.rs
+++ b/crates/core/tests/stories/moments.rs
@@ -941,3 +941,40 @@
         w.all_is_well();
     }
 }
+
+/// Guards against starts after a cancellation that a keeper has carried out (claims 9, 12): the
+/// leader, which the state service refuses and its siblings don't reach, sees that tasks were
+/// stopped by somebody else; it does not start them again before it has read the record.
+#[test]
+fn what_a_keeper_has_stopped_is_not_started_again() {
+    let mut stopped = 0;
+    for case in 0..48u64 {
+        let mut w = world(4, 0.0, 16_100 + case);
+        w.run_ms = [(name(1), 600_000)].into();
+        w.submit_surely(&job(&name(1), Shape::Array, 2));
+        w.until(20_000, "it runs", |w| w.on(&name(1)).len() == 2);
+        let (leader, others) = alone(&mut w);
+        let held: Vec<String> = w.on(&name(1)).into_iter().map(|(_, m)| m).collect();
+        held.iter().for_each(|m| w.cut(End::Node(leader), End::Worker(m.clone()), Cut::Drop));
+        w.until(6_000, "it is kept", |w| {
+            w.state.keys.keys().any(|k| k.starts_with("view/keeper/"))
+        });
+        w.run(1_000 + case * 13);
+        w.state.refuses.insert(leader);
+        let ask = w.abort(others[case as usize % 2], &name(1));
+        w.until(1_900, "a keeper stops it", |w| w.on(&name(1)).is_empty() || w.status(ask) != 0);
+        w.run(600);
+        if w.status(ask) == 200 && w.on(&name(1)).is_empty() {
+            stopped += 1;
+            // The leader hears of the machines again before it hears of the cancellation.
+            held.iter().for_each(|m| w.heal_between(&End::Node(leader), &End::Worker(m.clone())));
+            w.run(1_000 + case * 11 % 300);
+            assert!(w.late_starts.is_empty(), "case {case}: {:?}", w.late_starts);
+        }
+        w.end_troubles();
+        w.abort_surely(&name(1));
+        w.run(CANCEL_MS);
+        w.all_is_well();
+    }
+    assert!(stopped > 12, "{stopped} times a keeper stopped it");
+}
--- a/crates/core/tests/stories/search.rs
+++ b/crates/core/tests/stories/search.rs
@@ -343,13 +343,13 @@
     if seed.is_multiple_of(3) {
         (w.boot_ms, w.list_lag_ms) = ((0, 2_000), 3_000);
     }
-    // Reading the records takes a leader many reads on some days.
-    w.state.page = (seed % 4 == 1).then_some(2);
     w.fetch_gb_per_s = seed.is_multiple_of(8).then_some(0.5);
     if w.paged {
         w.start_anew();
     }
     w.until(20_000, "all steps are taken", |w| w.stands().version >= 4);
+    // Reading the records takes a leader many reads on some days.
+    w.state.page = (seed % 4 == 1).then_some(2);
     let began = w.now;
     // Jobs of a few tasks that end far apart, a service, a gang and a chain.
     let mut wants: Vec<(u64, Want)> = Vec::new();
--- a/crates/core/tests/stories/world.rs
+++ b/crates/core/tests/stories/world.rs
@@ -315,6 +315,7 @@
 }
 
 pub struct Ask {
+    node: usize,
     pub method: &'static str,
     pub path: String,
     pub body: Vec<u8>,
@@ -379,6 +380,8 @@
     /// Starts of tasks that were sent after a user had been told that their job is cancelled.
     pub late_starts: Vec<LateStart>,
     pub edges: Vec<(u64, Edge)>,
+    /// Who has told a user, in which life, that which job is cancelled.
+    told_at: BTreeSet<(usize, u32, String)>,
     /// Machines that speak and don't hear, and how many starts were lost on the way to each.
     pub deaf: BTreeMap<String, Deaf>,
     pub lost_starts: BTreeMap<String, u32>,
@@ -524,6 +527,7 @@
             odd_answers: BTreeMap::new(),
             late_starts: Vec::new(),
             edges: Vec::new(),
+            told_at: BTreeSet::new(),
             deaf: BTreeMap::new(),
             lost_starts: BTreeMap::new(),
             copies: None,
@@ -765,6 +769,7 @@
         };
         let told = told.and_then(|id| self.told.get(&id).copied());
         self.asks.push(Ask {
+            node,
             method,
             path: path.into(),
             body,
@@ -1272,6 +1277,8 @@
                     }
                     if a.status == JobStatus::Aborted {
                         let now = self.now;
+                        let node = self.asks[ask].node;
+                        self.told_at.insert((node, self.lives[node], id.clone()));
                         // To the millisecond, from the first confirmation that a user got.
                         if !self.aborted_at.contains_key(&id) {
                             self.aborted_at.insert(id.clone(), now);
--- a/crates/core/tests/stories/world/checks.rs
+++ b/crates/core/tests/stories/world/checks.rs
@@ -5,7 +5,7 @@
 
 use quartzgate_wire::msg::*;
 
-use super::{World, MEMORY_GB};
+use super::{World, CANCEL_MS, LEASE_MS, MEMORY_GB};
 
 /// How long a job may wait, troubles over, while a fitting machine has room.
 pub const WAITS_MOST_MS: u64 = 90_000;
@@ -29,6 +29,18 @@
         }
     }
 
+    /// A start is sent after its job's cancellation was confirmed: never by one that has told so
+    /// itself, and by one that can't know of it only as long as it may command at all.
+    pub(super) fn check_late_start(&mut self, by: usize, task: &str, after_ms: u64) {
+        let job = task.rsplit_once('/').map_or("", |(j, _)| j).to_string();
+        let knew = self.told_at.contains(&(by, self.lives[by], job));
+        if knew || after_ms > CANCEL_MS - LEASE_MS {
+            self.breaches.push(format!(
+                "{task} started by n{by} {after_ms} ms after its cancellation, told there: {knew}"
+            ));
+        }
+    }
+
     /// A submission that can't run (422) or is malformed (400) is never taken, and refused for
     /// what it is.
     pub(super) fn check_refusal(&mut self, ask: usize, id: &str, status: u16) {
--- a/crates/core/tests/stories/world/troubles.rs
+++ b/crates/core/tests/stories/world/troubles.rs
@@ -231,6 +231,7 @@
             let job = task.rsplit_once('/').map_or("", |(j, _)| j);
             if let Some(at) = self.aborted_at.get(job) {
                 let after_ms = self.now - at;
+                self.check_late_start(by, &task, after_ms);
                 self.late_starts.push(super::LateStart { task, by, after_ms });
             }
         }
