--- a/crates/core/tests/stories/moments.rs
+++ b/crates/core/tests/stories/moments.rs
@@ -280,15 +280,27 @@
 #[test]
 fn a_limit_holds_while_cancelled_work_hangs() {
     for case in 0..40u64 {
-        let limit = 24.0;
-        let mut w = world(8, limit, 14_400 + case);
+        // Of CPUs, or of GPUs.
+        let gpus = case % 4 == 3;
+        let mut w = world(8, if gpus { 0.0 } else { 24.0 }, 14_400 + case);
+        if gpus {
+            (w.gpus, w.limit_gpus) = (2.0, 6.0);
+            w.start_anew();
+            w.until(20_000, "one leads", |w| w.leader().is_some());
+            w.run(3_000);
+        }
+        let spec = |n: u32| {
+            let mut spec = job(&name(n), Shape::Array, 2);
+            spec.gpus = f64::from(u8::from(gpus));
+            spec
+        };
         w.cloud_off = false;
         w.returns_off = case % 2 == 0;
         w.run_ms = (1..40).map(|n| (name(n), 600_000)).collect();
-        (1..4).for_each(|n| w.submit_surely(&job(&name(n), Shape::Array, 2)));
+        (1..4).for_each(|n| w.submit_surely(&spec(n)));
         w.until(20_000, "the limit is reached", |w| (1..4).all(|n| w.on(&name(n)).len() == 2));
         // What waits for the room that is to come free.
-        (4..7).for_each(|n| w.submit_surely(&job(&name(n), Shape::Array, 2)));
+        (4..7).for_each(|n| w.submit_surely(&spec(n)));
         let held: Vec<String> = (1..4).flat_map(|n| w.on(&name(n))).map(|(_, m)| m).collect();
         let leader = w.leader().unwrap();
         for (n, m) in held.iter().enumerate() {
