--- a/crates/core/tests/stories/input.rs
+++ b/crates/core/tests/stories/input.rs
@@ -3,7 +3,7 @@
 
 use crate::world::{job, without, World};
 use ciborium::value::Value;
-use quartzgate_wire::msg::{JobSpec, JobStatus, Shape};
+use quartzgate_wire::msg::{Forward, JobSpec, JobStatus, MeshMessage, Shape};
 use quartzgate_wire::to_cbor;
 
 fn with(spec: &JobSpec, field: &str, value: Value) -> Value {
@@ -249,3 +249,125 @@
     }
     w.all_is_well();
 }
+
+/// Guards the process, and what it holds for proven, against reports, mesh messages, mailboxes and
+/// notes that make no sense: 400, or dropped; nobody ends, no running task is lost for it, and none
+/// that a report invents is taken for real.
+#[test]
+fn what_makes_no_sense_is_refused_and_proves_nothing() {
+    let mut w = World::new(3, 4, 0.0, 15_300);
+    w.until(20_000, "all steps are taken", |w| w.stands().version >= 4);
+    w.run(1_000);
+    w.run_ms = [("wk-000001".into(), 600_000)].into();
+    w.submit_surely(&job("wk-000001", Shape::Service, 3));
+    w.until(20_000, "it runs", |w| w.on("wk-000001").len() == 3);
+    let starts = w.starts.clone();
+    let text = |t: &str| Value::Text(t.to_string());
+    let good = Value::serialized(&w.report_of("vm-000000").unwrap()).unwrap();
+    let changed = |field: &str, value: Option<Value>| {
+        let Value::Map(mut map) = good.clone() else { unreachable!("a report is a map") };
+        map.retain(|(k, _)| k.as_text() != Some(field));
+        map.extend(value.map(|v| (text(field), v)));
+        to_cbor(&Value::Map(map))
+    };
+    let senseless = [
+        vec![0xff],
+        to_cbor(&7),
+        changed("host", None),
+        changed("host", Some(text(""))),
+        changed("host", Some(text(&"x".repeat(300)))),
+        changed("addr", Some(text("nowhere"))),
+        changed("tenure", Some(Value::from(0))),
+        changed("tenure", Some(Value::from(-1))),
+        changed("tally", None),
+        changed("baton", Some(text("7"))),
+        changed("recall_s", Some(Value::Float(f64::NAN))),
+        changed("recall_s", Some(Value::Float(-5.0))),
+        changed("pieces", Some(Value::from(3))),
+        changed("pieces", Some(Value::Array(vec![Value::Map(Vec::new())]))),
+    ];
+    let ask_all = |w: &mut World, body: &[u8]| {
+        let asks = [0, 1, 2].map(|n| w.ask(n, "POST", "/checkin", body.to_vec()));
+        w.run(300);
+        asks.map(|a| w.status(a))
+    };
+    for (at, body) in senseless.iter().enumerate() {
+        assert_eq!(ask_all(&mut w, body), [400; 3], "report {at}");
+    }
+    // Well-formed, and contradictory: tasks that nobody submitted, that can't be, twice over.
+    let piece = |name: &str, attempt: u64, status: &str| {
+        Value::Map(vec![
+            (text("piece"), text(name)),
+            (text("try"), Value::from(attempt)),
+            (text("status"), text(status)),
+        ])
+    };
+    let odd = [
+        vec![piece("wk-777777/0", 1, "running")],
+        vec![piece("nonsense", 1, "running"), piece("wk-000001/", 1, "running")],
+        vec![piece("wk-000001/99999999999", 1, "running"), piece("wk-000001/77", 1, "exited")],
+        vec![piece("wk-000001/0", 1, "running"), piece("wk-000001/0", 2, "running")],
+    ];
+    for (at, pieces) in odd.into_iter().enumerate() {
+        let body = changed("pieces", Some(Value::Array(pieces)));
+        let got = ask_all(&mut w, &body);
+        assert!(got.iter().all(|s| matches!(s, 200 | 400 | 421)), "odd report {at}: {got:?}");
+        w.run(3_000);
+        assert_eq!(w.on("wk-000001").len(), 3, "odd report {at}");
+    }
+    // The mesh: no message, another version, nobody we know, orders of one that does not lead.
+    let message = |from: &str, version: u32, path: Option<&str>| {
+        let forward = path.map(|p| Forward {
+            method: "POST".into(),
+            path: p.into(),
+            body: to_cbor(&"no letter"),
+        });
+        to_cbor(&MeshMessage { version, from: from.into(), epoch: 0, has_state: true, forward })
+    };
+    for node in 0..3 {
+        let sibling = format!("n{}", (node + 1) % 3);
+        let cases = [
+            vec![0xff, 0x01],
+            to_cbor(&"hello"),
+            message("n9", 1, None),
+            message(&sibling, 77, None),
+            message(&sibling, 1, Some("/aborted/")),
+            message(&sibling, 1, Some("/aborted/wk-1/x")),
+            message(&sibling, 1, Some("/orders")),
+            message(&sibling, 1, Some("/checkin")),
+            message(&sibling, 1, Some("/api/jobs")),
+        ];
+        for (at, body) in cases.into_iter().enumerate() {
+            assert_eq!(w.mesh(node, "/mesh", body), Some(400), "mesh message {at} to n{node}");
+        }
+        assert_eq!(w.mesh(node, "/elsewhere", Vec::new()), Some(404));
+    }
+    // What stands in the state service and is none of ours: mailboxes, notes, words, claims.
+    let keys = [
+        "view/post/n0/n1",
+        "view/post/n1/n0",
+        "view/post/n2/n9",
+        "view/post/",
+        "inbox/x",
+        "inbox/wk-5",
+        "view/keeper/n9",
+        "members/n7",
+    ];
+    for key in keys {
+        for value in [text("x"), Value::Null, Value::Array(vec![Value::from(1)])] {
+            w.put(key, value);
+            w.run(200);
+        }
+    }
+    w.run(3_000);
+    // Whoever leads next meets all of it at once.
+    let leader = w.leader().unwrap();
+    w.kill_for(leader, 200);
+    w.run(10_000);
+    assert!((0..3).all(|n| w.is_up(n)));
+    assert_eq!(w.on("wk-000001").len(), 3);
+    assert_eq!(w.starts, starts, "nothing had to be started again");
+    w.submit_surely(&job("wk-000002", Shape::Array, 2));
+    w.until_done("wk-000002", 20_000);
+    w.all_is_well();
+}
--- a/crates/core/tests/stories/world/state.rs
+++ b/crates/core/tests/stories/world/state.rs
@@ -129,6 +129,12 @@
         self.back(from, life, call.id, response, &End::State);
     }
 
+    /// Somebody else sets a key.
+    pub fn put(&mut self, key: &str, value: Value) {
+        let set = Change::Set { set: key.into(), value, permit: None };
+        self.transact(Transaction { guards: Vec::new(), apply: vec![set] });
+    }
+
     /// Answers a watch if there is something to tell or its time is up, else comes back.
     pub(super) fn watch(
         &mut self,
--- a/crates/core/tests/stories/world/troubles.rs
+++ b/crates/core/tests/stories/world/troubles.rs
@@ -1,12 +1,7 @@
 //! Troubles of the world that need more than a switch: answers that are lost, copies that are kept
 //! for the next leader, images that are fetched, users who look closely or ask for what can't be.
 
-use quartzgate_core::Call;
-use quartzgate_wire::msg::*;
-use quartzgate_wire::to_cbor;
-use rand::Rng;
-
-use super::{job, Edge, Msg, Unanswered, Worker, World, FORMAT};
+use super::*;
 
 /// Copies that are kept for the next leader at most: the newest.
 const COPIES_KEPT: usize = 120;
@@ -90,6 +85,23 @@
         }
     }
 
+    /// Something that is sent to a controller's mesh address; the status that it answers, if it
+    /// answers at once.
+    pub fn mesh(&mut self, node: usize, target: &str, body: Vec<u8>) -> Option<u16> {
+        let now = Now { steady_ms: self.steady_ms(node), wall_ms: 1_000_000 + self.now };
+        let (method, target) = ("POST".into(), target.to_string());
+        let request = Request { method, target, body, close: false };
+        let n = self.nodes[node].as_mut().unwrap();
+        let (life, mut told) = (n.life, None);
+        for action in n.core.handle(now, Event::Mesh { id: u64::MAX, request }) {
+            match action {
+                Action::Answer { id: u64::MAX, response } => told = Some(response.status),
+                other => self.carry_out(node, life, vec![other]),
+            }
+        }
+        told
+    }
+
     /// A copy of a report as it is now, which arrives at a controller after so long.
     pub fn copy_later(&mut self, body: &[u8], node: usize, ms: u64) {
         self.after(ms, Msg::Copy { node, body: body.to_vec() });
@@ -102,7 +114,7 @@
         let jobs = &self.jobs;
         let image_of = |task: &str| jobs[task.rsplit_once('/').unwrap().0].image.clone();
         let wanted = |image: &String| {
-            let waits = |(t, h): (&String, &super::Held)| {
+            let waits = |(t, h): (&String, &Held)| {
                 h.status == TaskStatus::Fetching && image_of(t) == *image
             };
             w.tasks.iter().any(waits)
@@ -225,23 +237,23 @@
         if call.target != "/orders" {
             return;
         }
-        let orders = quartzgate_wire::from_cbor::<OrdersRequest>(&call.body);
+        let orders = from_cbor::<OrdersRequest>(&call.body);
         for order in orders.map_or(Vec::new(), |o| o.orders) {
             let Order::Start { task, .. } = order else { continue };
             let job = task.rsplit_once('/').map_or("", |(j, _)| j);
             if let Some(at) = self.aborted_at.get(job) {
                 let after_ms = self.now - at;
                 self.check_late_start(by, &task, after_ms);
-                self.late_starts.push(super::LateStart { task, by, after_ms });
+                self.late_starts.push(LateStart { task, by, after_ms });
             }
         }
     }
 }
 
 /// A submission as a map, without one of its fields.
-pub fn without(spec: &JobSpec, field: &str) -> ciborium::value::Value {
-    let value = ciborium::value::Value::serialized(spec).unwrap();
+pub fn without(spec: &JobSpec, field: &str) -> Value {
+    let value = Value::serialized(spec).unwrap();
     let Ok(mut map) = value.into_map() else { unreachable!("a job is a map") };
     map.retain(|(k, _)| k.as_text() != Some(field));
-    ciborium::value::Value::Map(map)
+    Value::Map(map)
 }
