A leader heeds a cancellation that it was told of before the record came

Ends that are known when the reading is over are heeded, and answers that a sibling gives count for memory too.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -148,7 +148,8 @@
                 if let Ok(a) = from_cbor::<JobAnswer>(&r.body) {
                     match a.status {
                         JobStatus::Done => self.learn_final(&a.id, RecordedStatus::Done),
-                        JobStatus::Aborted => self.learn_final(&a.id, RecordedStatus::Aborted),
+                        // It may lead by now, and have read the record before that.
+                        JobStatus::Aborted => self.abort_stands(&a.id),
                         _ => {}
                     }
                 }
@@ -774,7 +775,7 @@
             Outcome::Answer(r) if r.status == 200 => {
                 self.state_answered();
                 tracing::info!(job = %job, "aborted past the leader");
-                self.learn_final(&job, RecordedStatus::Aborted);
+                self.abort_stands(&job);
                 self.tell_abort(&job);
                 self.answer_final(id, &job, RecordedStatus::Aborted)
             }
@@ -812,7 +813,7 @@
     }
 
     /// An abort that others recorded stands; its stamp is read when needed.
-    fn abort_stands(&mut self, job: &str) {
+    pub(crate) fn abort_stands(&mut self, job: &str) {
         if let Some(ix) = self.jobs.find(job) {
             if self.jobs.get(ix).is_some_and(|j| j.state != JobState::Aborted) {
                 self.job_to(ix, JobState::Aborted);
--- a/crates/core/src/restore.rs
+++ b/crates/core/src/restore.rs
@@ -400,6 +400,7 @@
         // Jobs of which nothing was dealt yet, and ends that were not recorded.
         for ix in self.jobs.indexes() {
             self.store.touch_job(ix);
+            self.heed_known_end(ix);
         }
         for ix in self.machines.indexes() {
             self.settle(ix);
@@ -412,6 +413,17 @@
         self.watch_inbox();
     }
 
+    /// Its end may have been learnt before its record came, which was read before that end.
+    fn heed_known_end(&mut self, ix: JobIx) {
+        let Some(job) = self.jobs.get(ix).filter(|j| j.state.lives()) else { return };
+        let id = job.id.clone();
+        match self.finals.get(&id) {
+            Some(RecordedStatus::Aborted) => self.abort_stands(&id),
+            Some(_) => self.restamp_job(ix),
+            None => {}
+        }
+    }
+
     /// Asks a machine that we know the address of for its report.
     pub(crate) fn inspect(&mut self, ix: MachineIx) {
         let Some(m) = self.machines.get_mut(ix) else { return };
--- a/crates/core/tests/stories/search.rs
+++ b/crates/core/tests/stories/search.rs
@@ -540,6 +540,21 @@
     }
 }
 
+/// Guards a cancellation that a controller tells of, and has to heed itself (claim 12): a sibling has
+/// told it while it reads the records, and the answer that says that the job lives, asked for before
+/// that, comes late. The day on which the search found it.
+#[test]
+fn who_tells_of_a_cancellation_heeds_it() {
+    let trouble = |kind, at_ms, for_ms| Trouble { kind, at_ms, edge: None, for_ms };
+    let troubles = [
+        trouble(Kind::SlowState { ms: 595 }, 6_335, 15_984),
+        trouble(Kind::Refusal { who: 0, silent: true }, 6_951, 25_636),
+        trouble(Kind::CloseLooks, 7_171, 2_397),
+    ];
+    let broken = breaches_of(1_078, &troubles);
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
 /// Guards all rules against troubles that meet, whatever they are: a bounded part of the search,
 /// with fixed seeds; `SEARCH_SEEDS` names others.
 #[test]
