--- a/crates/core/tests/stories/input.rs
+++ b/crates/core/tests/stories/input.rs
@@ -150,9 +150,7 @@
 fn a_repeat_of_a_known_job_is_never_refused() {
     for case in 0..4u64 {
         let mut w = World::new(3, 4, 0.0, 15_100 + case);
-        w.paged = case % 2 == 0;
-        w.start_anew();
-        w.until(20_000, "all steps are taken", |w| w.stands().version >= 4 && w.leader().is_some());
+        w.start_paged(case % 2 == 0);
         w.run_ms = [("wk-000001".into(), 600_000), ("wk-000003".into(), 600_000)].into();
         for n in 1..4 {
             w.submit_surely(&job(&format!("wk-00000{n}"), Shape::Array, 1));
--- a/crates/core/tests/stories/moments.rs
+++ b/crates/core/tests/stories/moments.rs
@@ -171,9 +171,7 @@
     let mut told = 0;
     for case in 0..40u64 {
         let mut w = world(8, 0.0, 14_200 + case);
-        w.paged = case % 2 == 0;
-        w.start_anew();
-        w.until(20_000, "all steps are taken", |w| w.stands().version >= 4 && w.leader().is_some());
+        w.start_paged(case % 2 == 0);
         (w.close_looks, w.cancel_at_end) = (true, 0.3);
         day(&mut w, case, |w, turn| {
             let leader = w.leader().unwrap_or(0);
@@ -231,9 +229,7 @@
         let prefix = KINDS[case as usize % KINDS.len()];
         let how = case / KINDS.len() as u64;
         let mut w = world(8, 0.0, 14_300 + case);
-        w.paged = prefix == "pages/" || case % 4 == 0;
-        w.start_anew();
-        w.until(20_000, "all steps are taken", |w| w.stands().version >= 4 && w.leader().is_some());
+        w.start_paged(prefix == "pages/" || case % 4 == 0);
         w.close_looks = case % 2 == 0;
         let mut left = 0;
         day(&mut w, case, |w, turn| {
@@ -575,9 +571,7 @@
 fn an_acceptance_without_an_answer_is_found() {
     for case in 0..24u64 {
         let mut w = world(4, 0.0, 14_900 + case);
-        w.paged = case % 3 == 0;
-        w.start_anew();
-        w.until(20_000, "all steps are taken", |w| w.stands().version >= 4 && w.leader().is_some());
+        w.start_paged(case % 3 == 0);
         w.run(1_000);
         w.run_ms = [(name(1), 600_000)].into();
         let (leader, others) = alone(&mut w);
@@ -710,9 +704,7 @@
     let mut both = [0, 0];
     for case in 0..60u64 {
         let mut w = world(4, 0.0, 15_400 + case);
-        w.paged = case % 3 == 0;
-        w.start_anew();
-        w.until(20_000, "all steps are taken", |w| w.stands().version >= 4 && w.leader().is_some());
+        w.start_paged(case % 3 == 0);
         w.run(1_000);
         let spec = job(&name(1), Shape::Array, 2);
         w.submit_surely(&spec);
--- a/crates/core/tests/stories/world/troubles.rs
+++ b/crates/core/tests/stories/world/troubles.rs
@@ -139,15 +139,9 @@
             .map(|(t, _)| t.clone())
             .collect();
         for task in &ready {
-            let (job, n) = task.rsplit_once('/').unwrap();
+            let (job, _) = task.rsplit_once('/').unwrap();
             let spec = &self.jobs[job];
-            let finished =
-                n.parse().is_ok_and(|n: u32| self.done.get(job).is_some_and(|d| d.contains(&n)));
-            let run = match (finished, spec.shape) {
-                (true, _) => 0,
-                (_, Shape::Service) => u64::MAX / 2,
-                _ => self.run_of(task),
-            };
+            let run = self.left_of(spec, task);
             let status = match spec.shape {
                 Shape::Gang => TaskStatus::Waiting,
                 _ => TaskStatus::Running,
--- a/crates/core/tests/stories/world/users.rs
+++ b/crates/core/tests/stories/world/users.rs
@@ -71,6 +71,15 @@
         }
     }
 
+    /// All controllers anew, all small jobs in pages or only while changes are scarce; until one
+    /// leads and all steps are taken.
+    pub fn start_paged(&mut self, paged: bool) {
+        self.paged = paged;
+        self.start_anew();
+        let ready = |w: &World| w.stands().version >= 4 && w.leader().is_some();
+        self.until(20_000, "all steps are taken", ready);
+    }
+
     /// Writes that are held.
     pub fn steps_held(&self) -> usize {
         self.held.len()
--- a/crates/core/tests/stories/world/workers.rs
+++ b/crates/core/tests/stories/world/workers.rs
@@ -258,8 +258,7 @@
 
     pub(super) fn start_task(&mut self, name: &str, task: String, attempt: u64) {
         let now = self.now;
-        let (job_id, n) = task.rsplit_once('/').unwrap();
-        let n: u32 = n.parse().unwrap();
+        let (job_id, _) = task.rsplit_once('/').unwrap();
         let Some(spec) = self.jobs.get(job_id).cloned() else { return };
         if let Some(h) = self.workers[name].tasks.get(&task) {
             if h.attempt == attempt || h.status != TaskStatus::Exited {
@@ -315,12 +314,7 @@
             }
         }
         self.check_place(name, &spec);
-        let finished = self.done.get(job_id).is_some_and(|d| d.contains(&n));
-        let run = match (finished, spec.shape) {
-            (true, _) => 0,
-            (_, Shape::Service) => u64::MAX / 2,
-            _ => self.run_of(&task),
-        };
+        let run = self.left_of(&spec, &task);
         let mistaken = self.mistaken.get_mut(job_id).map(|failed| *failed += 1).is_some();
         let w = self.workers.get_mut(name).unwrap();
         let used: f64 = w
@@ -347,6 +341,18 @@
         }
     }
 
+    /// How long a task runs once it has its image: a result that is kept is there at once, a
+    /// replica runs on.
+    pub(super) fn left_of(&self, spec: &JobSpec, task: &str) -> u64 {
+        let n = task.rsplit_once('/').and_then(|(_, n)| n.parse().ok());
+        let done = self.done.get(&spec.id);
+        match (n.is_some_and(|n: u32| done.is_some_and(|d| d.contains(&n))), spec.shape) {
+            (true, _) => 0,
+            (_, Shape::Service) => u64::MAX / 2,
+            _ => self.run_of(task),
+        }
+    }
+
     /// How long a task runs.
     pub(super) fn run_of(&self, task: &str) -> u64 {
         let job = task.rsplit_once('/').unwrap().0;
