--- a/review/stand-ins/src/cases.rs
+++ b/review/stand-ins/src/cases.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use crate::service::{job, Facts, Service};
-use crate::world::{add_machine, lock, Site};
+use crate::world::{add_machine, add_machine_at, lock, Site};
 use crate::Verdict;
 
 fn machine_type(
@@ -184,6 +184,73 @@
     }
 }
 
+/// Case `stale-leader`: a job is called off while the leader reaches only workers and users.
+pub fn stale_leader(run: &str, folder: &Path, record: &Path, trouble: bool) -> Verdict {
+    let mut service = Service::start(run, folder, record, beanpost(25_000));
+    match stale_leader_steps(&mut service, trouble) {
+        Ok(verdict) | Err(verdict) => verdict,
+    }
+}
+
+fn stale_leader_steps(service: &mut Service, trouble: bool) -> Result<Verdict, Verdict> {
+    let not_run = |why: &str| Verdict::NotRun(why.to_string());
+    service.wait(2.0, |_| false);
+    let leader = service.leader().ok_or_else(|| not_run("no controller leads"))?;
+    let zone = lock(&service.world).site.zones[leader % 2];
+    let machine = add_machine_at(&service.world, leader, "wee-box", zone, -600_000, 0);
+    // One job fills the only machine, another one of the same rank waits for it.
+    let first = job("wk-000001", "data-crew", JobKind::Array, Priority::Normal, 1, 8.0);
+    accept(service, &first, 60.0)?;
+    if !service.wait(10.0, |world| world.machines_with("wk-000001/0") == [machine.as_str()]) {
+        return Err(not_run("the first job does not run"));
+    }
+    let second = job("wk-000002", "data-crew", JobKind::Array, Priority::Normal, 1, 8.0);
+    accept(service, &second, 60.0)?;
+    service.wait(2.0, |_| false);
+    if trouble {
+        service.cut(leader, true);
+    }
+    // Its user calls the waiting job off at another controller, again until it is confirmed.
+    let other = (leader + 1) % service.clients.len();
+    let began_s = service.now_s();
+    loop {
+        let answer = service.request_at(other, "POST", "/api/jobs/wk-000002/abort");
+        if answer.is_some_and(|answer| answer.status == 200) {
+            break;
+        }
+        if service.now_s() > began_s + 20.0 {
+            return Err(not_run("the cancellation is not confirmed"));
+        }
+        std::thread::sleep(Duration::from_millis(1_000));
+    }
+    let told_ms = lock(&service.world).now_ms();
+    // The first job ends after that.
+    lock(&service.world).finish_in("wk-000001/0", 300);
+    service.wait(12.0, |_| false);
+    if trouble {
+        service.cut(leader, false);
+    }
+    service.wait(3.0, |_| false);
+    let status = service.status("wk-000002");
+    let world = lock(&service.world);
+    // A start command that was on its way is excused: the machine was full for 300 ms more.
+    let started =
+        world.starts.iter().find(|start| start.task == "wk-000002/0" && start.at_ms > told_ms);
+    let started_ms = started.map(|start| start.at_ms);
+    drop(world);
+    service.note(format!("told at {:.3} s; status now {status:?}", told_ms as f64 / 1e3));
+    if !service.all_run() {
+        return Err(not_run("a controller ended by itself"));
+    }
+    Ok(match started_ms {
+        None => Verdict::Held,
+        Some(at_ms) => Verdict::Broken(format!(
+            "wk-000002/0 starts {} ms after its user was told that the job is cancelled",
+            at_ms - told_ms
+        )),
+    })
+}
+
 /// Case `lost-zone`: the machine of a job whose tasks have to be in one zone stops.
 pub fn lost_zone(run: &str, folder: &Path, record: &Path, trouble: bool) -> Verdict {
     let mut service = Service::start(run, folder, record, beanpost(20_000));
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -32,6 +32,7 @@
     let (folder, record) = (Path::new(folder), Path::new(record));
     let verdict = match case.as_str() {
         "late-copy" => cases::late_copy(run, folder, record, trouble),
+        "stale-leader" => cases::stale_leader(run, folder, record, trouble),
         "lost-zone" => cases::lost_zone(run, folder, record, trouble),
         "spread-gang" => cases::spread_gang(run, folder, record, trouble),
         other => Verdict::NotRun(format!("no case {other}")),
--- a/review/stand-ins/src/net.rs
+++ b/review/stand-ins/src/net.rs
@@ -1,8 +1,8 @@
 //! HTTP over blocking sockets: a server with a thread a connection, and a client connection.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -114,6 +114,55 @@
     }
 }
 
+/// Whether a controller is cut off.
+pub type Cut = Arc<AtomicBool>;
+
+/// Starts a proxy to `target` and returns its address. While one of the cuts is on, it holds what
+/// arrives on either side, new connections too, and delivers it when the cut is over.
+pub fn proxy(target: SocketAddr, cuts: Vec<Cut>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free loopback port");
+    let addr = listener.local_addr().expect("a bound address");
+    std::thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            let cuts = cuts.clone();
+            std::thread::spawn(move || {
+                wait_for(&cuts);
+                let Ok(far) = TcpStream::connect(target) else { return };
+                let (Ok(near_writer), Ok(far_writer)) = (near.try_clone(), far.try_clone()) else {
+                    return;
+                };
+                let back = cuts.clone();
+                std::thread::spawn(move || forward(far, near_writer, &back));
+                forward(near, far_writer, &cuts);
+            });
+        }
+    });
+    addr
+}
+
+fn wait_for(cuts: &[Cut]) {
+    while cuts.iter().any(|cut| cut.load(Ordering::SeqCst)) {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn forward(mut from: TcpStream, mut to: TcpStream, cuts: &[Cut]) {
+    let _ = to.set_nodelay(true);
+    let mut chunk = vec![0; 16 * 1024];
+    loop {
+        let read = from.read(&mut chunk);
+        wait_for(cuts);
+        match read {
+            Ok(n) if n > 0 && to.write_all(&chunk[..n]).is_ok() => {}
+            _ => {
+                let _ = to.shutdown(Shutdown::Both);
+                let _ = from.shutdown(Shutdown::Both);
+                return;
+            }
+        }
+    }
+}
+
 /// Returns a free loopback port. The socket is closed again, for the process that will listen there.
 /// The port is below those that the system gives to outgoing connections, so that none of them takes
 /// it in between.
--- a/review/stand-ins/src/service.rs
+++ b/review/stand-ins/src/service.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use quartzgate_wire::http::Response;
@@ -12,7 +13,7 @@
 use quartzgate_wire::{from_cbor, to_cbor};
 use serde_json::{json, Value};
 
-use crate::net::{free_addr, serve, Client};
+use crate::net::{free_addr, proxy, serve, Client, Cut};
 use crate::state::StateService;
 use crate::world::{lock, on_cloud_request, Shared, Site, World};
 
@@ -35,6 +36,7 @@
     pub clients: Vec<SocketAddr>,
     program: Vec<String>,
     folder: PathBuf,
+    cuts: Vec<Cut>,
     children: Vec<Option<Child>>,
     user: Client,
     at: usize,
@@ -48,20 +50,26 @@
         let world = World::new(facts.site.clone(), record, clients.clone());
         let state = StateService::start();
         let (state_listener, cloud_listener) = (listener(), listener());
-        let outside = json!({
-            "state": state_listener.local_addr().unwrap().to_string(),
-            "cloud": cloud_listener.local_addr().unwrap().to_string(),
-        });
+        let state_addr = state_listener.local_addr().expect("a bound address");
+        let cloud = cloud_listener.local_addr().expect("a bound address").to_string();
         let handler = state.clone();
         serve(state_listener, move |request| handler.handle(&request));
         let handler = world.clone();
         serve(cloud_listener, move |request| on_cloud_request(&handler, &request));
+        let cuts: Vec<Cut> = (0..NODES).map(|_| Cut::default()).collect();
         let zone = |node: usize| facts.site.zones[node % 2];
         for node in 0..NODES {
+            let link = |other: usize| {
+                proxy(addrs[other].1, vec![cuts[node].clone(), cuts[other].clone()]).to_string()
+            };
             let siblings: Vec<Value> = (0..NODES)
                 .filter(|other| *other != node)
-                .map(|other| json!({"node": format!("host-{other}"), "domain": zone(other), "addr": addrs[other].1.to_string()}))
+                .map(|other| json!({"node": format!("host-{other}"), "domain": zone(other), "addr": link(other)}))
                 .collect();
+            let outside = json!({
+                "state": proxy(state_addr, vec![cuts[node].clone()]).to_string(),
+                "cloud": cloud,
+            });
             let site = &facts.site;
             let settings = json!({
                 "node": format!("host-{node}"), "domain": zone(node),
@@ -87,6 +95,7 @@
             clients,
             program: run.split_whitespace().map(String::from).collect(),
             folder: folder.to_path_buf(),
+            cuts,
             children: (0..NODES).map(|_| None).collect(),
             user: Client::default(),
             at: 0,
@@ -123,6 +132,22 @@
         lock(&self.world).note(format!("DISRUPTION: host-{node} is killed"));
     }
 
+    /// Cuts a controller off from the state service and the other controllers, or ends the cut.
+    /// Users, workers and the cloud reach it as before.
+    pub fn cut(&self, node: usize, on: bool) {
+        self.cuts[node].store(on, Ordering::SeqCst);
+        let what = if on { "is cut from" } else { "reaches" };
+        self.note(format!(
+            "DISRUPTION: host-{node} {what} the state service and the other controllers"
+        ));
+    }
+
+    /// Makes a user's request at one controller, on a connection of its own.
+    pub fn request_at(&mut self, node: usize, method: &str, target: &str) -> Option<Response> {
+        (self.at, self.user) = (node, Client::default());
+        self.request(method, target, &[], Duration::from_secs(5))
+    }
+
     /// Returns whether all controllers run.
     pub fn all_run(&mut self) -> bool {
         self.children
--- a/review/stand-ins/src/world.rs
+++ b/review/stand-ins/src/world.rs
@@ -211,6 +211,15 @@
         self.note(format!("DISRUPTION: {name} stops with all that is on it"));
     }
 
+    /// Makes a running task complete after `ms`.
+    pub fn finish_in(&mut self, task: &str, ms: u64) {
+        let at_ms = self.now_ms() + ms;
+        let held = self.machines.values_mut().flat_map(|machine| &mut machine.tasks);
+        for (_, held) in held.filter(|((name, _), held)| name == task && held.live()) {
+            held.ends_ms = at_ms;
+        }
+    }
+
     fn next_report(&mut self, name: &str) -> Option<Heartbeat> {
         let machine = self.machines.get_mut(name)?;
         machine.tally += 1;
@@ -506,13 +515,28 @@
 
 /// Adds a machine that is up at `up_ms` and starts its worker. Returns its name.
 pub fn add_machine(world: &Shared, kind: &str, zone: &str, hired_ms: i64, up_ms: u64) -> String {
+    let node = {
+        let world = lock(world);
+        (world.created as usize + 1) % world.nodes.len()
+    };
+    add_machine_at(world, node, kind, zone, hired_ms, up_ms)
+}
+
+/// Adds a machine whose worker makes its first report to the controller `node`.
+pub fn add_machine_at(
+    world: &Shared,
+    node: usize,
+    kind: &str,
+    zone: &str,
+    hired_ms: i64,
+    up_ms: u64,
+) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free loopback port");
     let addr = listener.local_addr().expect("a bound address");
     let name = {
         let mut world = lock(world);
         world.created += 1;
         let name = format!("vm-{:06}", world.created);
-        let node = world.created as usize % world.nodes.len();
         let machine = Machine {
             addr,
             kind: kind.into(),
