Fence the starts of an attempt before its worker forgets it

A second copy of the command that had started it reached its first machine seconds later, after the worker had been told to forget the attempt.

Cause: a machine's fencing token was advanced only after a command with an unknown outcome. After an answered command its token stayed valid, and a worker that has forgotten an attempt executes its start again.

Change: a message that orders a worker to forget an attempt carries a higher token than any start sent to the machine. Whether earlier commands are void is judged by `required_token`, which the advance before an order to forget leaves alone, so no acknowledgement and no command of its own is needed. This covers every end of an attempt (all leave an exited attempt, which one function orders to forget) and every route, since the worker compares tokens whoever delivers the command.

The simulation and the soak deliver commands a second time and check that no attempt starts twice.

--- a/crates/core/src/fleet/commands.rs
+++ b/crates/core/src/fleet/commands.rs
@@ -1,9 +1,11 @@
 //! Commands to workers: when a command is sent, by which route, and how its outcome is handled.
 //!
 //! At most one command to a machine is in flight. Each command carries the machine's fencing
-//! token, and the agent refuses a command with any other token. Invariant: after a command whose
-//! outcome is unknown, the token is advanced before the next command is sent, so that the earlier
-//! command can't take effect later.
+//! token, and the agent refuses a command with a lower token than it has seen. Invariants: after a
+//! command whose outcome is unknown, the token is advanced before the next command is sent, so that
+//! the earlier command can't take effect later. A message that makes the agent forget an attempt
+//! carries a higher token than the command that started the attempt, so that no copy of that
+//! command can start it again.
 
 use std::net::SocketAddr;
 
@@ -53,7 +55,7 @@
     /// Returns whether a command without orders is due: to deliver the fencing token, or to probe
     /// whether commands reach a machine that is considered one-way unreachable.
     fn needs_empty_command(&self) -> bool {
-        self.acknowledged_token < self.fencing_token || self.reachability.is_one_way_unreachable()
+        !self.has_acknowledged_fence() || self.reachability.is_one_way_unreachable()
     }
 
     /// Records whether the machine can be reached directly, after a command to it has ended.
@@ -108,6 +110,9 @@
         if nothing_due || !may_send {
             return None;
         }
+        if !starts.is_empty() {
+            machine.record_starts_sent();
+        }
         let (fencing_token, agent_epoch) = (machine.fencing_token, machine.agent_epoch);
         for (key, attempt) in &starts {
             orders.extend(self.start_order(index, *key, *attempt));
@@ -272,16 +277,14 @@
         }
     }
 
-    /// Advances the fencing token after a command with an unknown outcome, so that the command
-    /// can't take effect any more. Starts are paused for one heartbeat interval, in which the
+    /// Fences a command with an unknown outcome, so that it can't take effect any more. Starts are
+    /// paused for one heartbeat interval, in which the
     /// machine's next heartbeat is due.
     fn fence_unknown_command(&mut self, index: MachineIndex, fencing_token: u64) {
         let epoch = self.epoch();
         let interval_ms = self.context.config.heartbeat_interval_ms();
         let Some(machine) = self.machines.get_mut(index) else { return };
-        if machine.fencing_token == fencing_token {
-            machine.advance_fencing_token(epoch);
-        }
+        machine.fence_commands(fencing_token, epoch);
         machine.pause_starts(self.context.now.steady_ms + interval_ms);
     }
 }
--- a/crates/core/src/fleet/heartbeats.rs
+++ b/crates/core/src/fleet/heartbeats.rs
@@ -205,7 +205,7 @@
         log_lost_tasks(machine, new_agent_epoch);
         let was_unreachable = machine.reachability.is_one_way_unreachable();
         machine.reachability.on_heartbeat(now_ms, new_agent_epoch, &timing);
-        if heartbeat.fencing_token >= machine.fencing_token {
+        if heartbeat.fencing_token >= machine.required_token {
             machine.reachability.on_current_fencing_token();
         }
         machine.agent_epoch = heartbeat.agent_epoch;
--- a/crates/core/src/fleet/machine.rs
+++ b/crates/core/src/fleet/machine.rs
@@ -64,10 +64,15 @@
     pub reachability: Reachability,
     /// Fencing token in the machine's newest heartbeat.
     pub(super) acknowledged_token: u64,
-    /// Fencing token that commands to the machine carry: the epoch and a counter that rises
-    /// whenever a command's outcome is unknown, so that the agent refuses that command if it
-    /// arrives late.
+    /// Fencing token that messages to the machine carry: the epoch and a counter that rises
+    /// whenever a command's outcome is unknown and before an attempt is forgotten, so that the
+    /// agent refuses an earlier command if that, or a copy of it, arrives late.
     pub(super) fencing_token: u64,
+    /// Lowest fencing token whose acknowledgement proves that no earlier command with an unknown
+    /// outcome can take effect any more.
+    pub(super) required_token: u64,
+    /// Highest fencing token that a command with starts has carried; 0 if none was sent.
+    pub(super) start_token: u64,
     /// When a heartbeat of the machine was last answered, which renewed its lease.
     pub(super) last_answered_ms: Option<u64>,
     /// When the last message from the machine arrived; 0 if none has arrived.
@@ -143,6 +148,8 @@
             reachability: Reachability::default(),
             acknowledged_token: 0,
             fencing_token,
+            required_token: fencing_token,
+            start_token: 0,
             last_answered_ms: None,
             last_heard_ms: 0,
             known_since_ms: now_ms,
@@ -251,8 +258,37 @@
         self.no_starts_until_ms = until_ms;
     }
 
-    /// Advances the fencing token, so that the agent refuses commands that are still in transit.
-    pub(super) fn advance_fencing_token(&mut self, epoch: u64) {
+    /// Returns whether every earlier command with an unknown outcome is void, because the agent
+    /// has acknowledged a later fencing token.
+    pub(super) fn has_acknowledged_fence(&self) -> bool {
+        self.acknowledged_token >= self.required_token
+    }
+
+    /// Records that a command with starts carries the present fencing token.
+    pub(super) fn record_starts_sent(&mut self) {
+        self.start_token = self.start_token.max(self.fencing_token);
+    }
+
+    /// Fences the commands that carry `token` or an earlier one: the agent refuses them from when
+    /// it has seen the fencing token that is set here.
+    pub(super) fn fence_commands(&mut self, token: u64, epoch: u64) {
+        if self.fencing_token <= token {
+            self.advance_fencing_token(epoch);
+        }
+        self.required_token = self.fencing_token;
+    }
+
+    /// Fences the starts that were sent, before the agent is told to forget an attempt. An agent
+    /// that has forgotten the attempt would execute a copy of its start again. The message that
+    /// contains the order to forget raises the agent's token itself, so no acknowledgement is
+    /// required.
+    pub(super) fn fence_sent_starts(&mut self, epoch: u64) {
+        if self.fencing_token <= self.start_token {
+            self.advance_fencing_token(epoch);
+        }
+    }
+
+    fn advance_fencing_token(&mut self, epoch: u64) {
         let counter = self.fencing_token & TOKEN_COUNTER_MASK;
         self.fencing_token = scoped_to_epoch(epoch, counter + 1);
     }
@@ -260,7 +296,7 @@
     /// Clears everything that was on the machine and returns the lost tasks. The caller removes the
     /// placed tasks by requeueing them.
     pub(super) fn clear_tasks(&mut self, epoch: u64, now_ms: u64) -> LostTasks {
-        self.advance_fencing_token(epoch);
+        self.fence_commands(self.fencing_token, epoch);
         self.reported_tasks.clear();
         self.pending_starts.clear();
         self.images.clear();
--- a/crates/core/src/fleet/reconciliation.rs
+++ b/crates/core/src/fleet/reconciliation.rs
@@ -28,7 +28,7 @@
         }
         let new_agent_epoch = std::mem::take(&mut machine.new_agent_epoch);
         let epoch_acknowledged = machine.acknowledged_token >= first_token;
-        let token_acknowledged = machine.acknowledged_token >= machine.fencing_token;
+        let token_acknowledged = machine.has_acknowledged_fence();
         let no_start_in_flight = token_acknowledged && !machine.command_in_flight;
         let reported = machine.reported_tasks.clone();
         let alive = self.apply_reported_tasks(index, &reported);
--- a/crates/core/src/fleet/reconciling_orders.rs
+++ b/crates/core/src/fleet/reconciling_orders.rs
@@ -1,8 +1,9 @@
 //! Orders that reconcile a machine with the leader's state: which of its reported tasks should
 //! stop, and which of its exited tasks it may forget.
 //!
-//! Invariant: a machine is told to forget an exited task only when the exit is recorded in the
-//! store or is irrelevant.
+//! Invariants: a machine is told to forget an exited task only when the exit is recorded in the
+//! store or is irrelevant, and only by a message with a higher fencing token than any start that was
+//! sent to the machine. The caller must therefore read the fencing token after the orders.
 
 use quartzgate_wire::msg::{ExitCause, HeartbeatTask, Order, TaskStatus};
 
@@ -20,13 +21,26 @@
 const STOP_AT_ONCE_S: f64 = 0.0;
 
 impl Controller {
-    /// Returns the stop and forget orders that follow from a machine's newest heartbeat.
-    pub(super) fn reconciling_orders(&self, index: MachineIndex) -> Vec<Order> {
+    /// Returns the stop and forget orders that follow from a machine's newest heartbeat. Advances
+    /// the machine's fencing token if an attempt is to be forgotten.
+    pub(super) fn reconciling_orders(&mut self, index: MachineIndex) -> Vec<Order> {
+        let orders = self.orders_for_reported_tasks(index);
+        if orders.iter().any(|order| matches!(order, Order::Forget { .. })) {
+            let epoch = self.epoch();
+            if let Some(machine) = self.machines.get_mut(index) {
+                machine.fence_sent_starts(epoch);
+                let fencing_token = machine.fencing_token;
+                tracing::debug!(machine = %machine.name, fencing_token, "attempts to be forgotten");
+            }
+        }
+        orders
+    }
+
+    fn orders_for_reported_tasks(&self, index: MachineIndex) -> Vec<Order> {
         let Some(machine) = self.machines.get(index) else { return Vec::new() };
         // A forget order must not be sent while a start of the same attempt may still be in
         // transit.
-        let may_send_forget =
-            !machine.command_in_flight && machine.acknowledged_token >= machine.fencing_token;
+        let may_send_forget = !machine.command_in_flight && machine.has_acknowledged_fence();
         let mut orders = Vec::new();
         for reported in &machine.reported_tasks {
             let (task, attempt) = (reported.task.clone(), reported.attempt);
--- a/crates/core/tests/simulation/cluster.rs
+++ b/crates/core/tests/simulation/cluster.rs
@@ -134,6 +134,12 @@
     pub lost_starts: BTreeMap<String, u32>,
     /// Share and delay of heartbeats that are delivered again later, at a random controller.
     pub duplicate_heartbeats: Option<RandomDelay>,
+    /// Share and delay of commands that are delivered a second time, directly and by a relay.
+    pub duplicate_commands: Option<RandomDelay>,
+    /// Number of commands that were delivered a second time.
+    pub duplicated_commands: u64,
+    /// Number of commands without orders that workers received.
+    pub empty_commands: u64,
     /// Share of heartbeats that are stored and replayed to every controller when a new leader is
     /// elected.
     pub stale_heartbeat_share: f64,
@@ -224,6 +230,9 @@
             inbound_loss: BTreeMap::new(),
             lost_starts: BTreeMap::new(),
             duplicate_heartbeats: None,
+            duplicate_commands: None,
+            duplicated_commands: 0,
+            empty_commands: 0,
             stale_heartbeat_share: 0.0,
             cut_from_all_workers: BTreeSet::new(),
             redirects: 0,
--- a/crates/core/tests/simulation/cluster/clock.rs
+++ b/crates/core/tests/simulation/cluster/clock.rs
@@ -12,6 +12,8 @@
 pub(super) enum SimulationEvent {
     /// A duplicate of a heartbeat arrives; its answer is discarded.
     DuplicateHeartbeat { node: usize, body: Vec<u8> },
+    /// A duplicate of a controller's call arrives at the called peer; its answer is discarded.
+    DuplicateCall { duplicate: HeldCall },
     /// A machine has finished rebooting.
     MachineRebooted { machine: String },
     /// A controller's timer fires.
@@ -129,6 +131,7 @@
             SimulationEvent::DuplicateHeartbeat { node, body } => {
                 self.deliver_duplicate_heartbeat(node, body)
             }
+            SimulationEvent::DuplicateCall { duplicate } => self.deliver_call(duplicate),
             SimulationEvent::MachineRebooted { machine } => self.on_machine_rebooted(machine),
             SimulationEvent::MachineUp { machine, zone } => self.boot(&machine, &zone, false),
             SimulationEvent::DelayedWrite { from, txn } => {
--- a/crates/core/tests/simulation/cluster/faults.rs
+++ b/crates/core/tests/simulation/cluster/faults.rs
@@ -2,11 +2,16 @@
 //! and the milestones of a run at which tests inject faults.
 
 use super::clock::SimulationEvent;
+use super::network::HeldCall;
 use super::Cluster;
 use quartzgate_core::records::FORMAT_KEY;
-use quartzgate_wire::msg::{Change, Transaction};
+use quartzgate_core::{Call, CallId, Peer};
+use quartzgate_wire::from_cbor;
+use quartzgate_wire::msg::{Change, MeshMessage, Transaction};
 use rand::Rng;
 
+/// Identifier of the duplicate of a call, whose answer nobody waits for.
+const DUPLICATE_CALL: CallId = CallId::MAX;
 /// Maximum number of heartbeats stored for replay at the next election; the oldest are dropped.
 const MAX_STALE_HEARTBEATS: usize = 120;
 
@@ -70,6 +75,7 @@
         self.state.lost_answer_share = 0.0;
         self.state.delayed_writes = None;
         self.duplicate_heartbeats = None;
+        self.duplicate_commands = None;
         self.stale_heartbeat_share = 0.0;
         self.scale_in_disabled = false;
         self.abort_at_completion = 0.0;
@@ -127,6 +133,20 @@
         }
     }
 
+    /// Schedules a second delivery of a command to a worker, or of its way to a relay, as the
+    /// configured fault requires.
+    pub(super) fn duplicate_command(&mut self, from: usize, incarnation: u32, call: &Call) {
+        let Some(delay) = self.duplicate_commands.filter(|_| carries_command(call)) else {
+            return;
+        };
+        if self.rng.random_bool(delay.share) {
+            self.duplicated_commands += 1;
+            let delay_ms = self.rng.random_range(delay.from_ms..=delay.to_ms);
+            let duplicate = HeldCall { from, incarnation, call: duplicate_of(call) };
+            self.schedule_after(delay_ms, SimulationEvent::DuplicateCall { duplicate });
+        }
+    }
+
     /// Replays the stored heartbeats to every controller after an election, with delays that fall
     /// before, during and after the new leader's recovery.
     pub(super) fn replay_stale_heartbeats(&mut self) {
@@ -145,3 +165,24 @@
         self.schedule_after(ms, SimulationEvent::DuplicateHeartbeat { node, body });
     }
 }
+
+fn duplicate_of(call: &Call) -> Call {
+    Call {
+        id: DUPLICATE_CALL,
+        peer: call.peer.clone(),
+        method: call.method,
+        target: call.target.clone(),
+        body: call.body.clone(),
+        timeout_ms: call.timeout_ms,
+    }
+}
+
+/// Returns whether a call carries orders to a worker, directly or through a relay.
+fn carries_command(call: &Call) -> bool {
+    match call.peer {
+        Peer::Worker(_) => call.target == "/orders",
+        Peer::Sibling(_) => from_cbor::<MeshMessage>(&call.body)
+            .is_ok_and(|message| message.forward.is_some_and(|f| f.path == "/orders")),
+        Peer::State | Peer::Cloud => false,
+    }
+}
--- a/crates/core/tests/simulation/cluster/network.rs
+++ b/crates/core/tests/simulation/cluster/network.rs
@@ -155,6 +155,7 @@
         if self.rng.random_bool(self.message_loss) {
             return;
         }
+        self.duplicate_command(from, incarnation, &call);
         let delay_ms = self.random_delay_ms() + self.state_latency_ms(&to);
         self.schedule_after(delay_ms, SimulationEvent::Call { from, incarnation, call });
     }
--- a/crates/core/tests/simulation/cluster/workers.rs
+++ b/crates/core/tests/simulation/cluster/workers.rs
@@ -69,6 +69,13 @@
     pub at_ms: u64,
 }
 
+/// An attempt of a task that a worker has started.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct StartedAttempt {
+    task: String,
+    attempt: u64,
+}
+
 /// Makes a machine hang for `for_ms` in the middle of its next call with more than `after_orders`
 /// orders, after it has executed that many.
 #[derive(Clone, Copy, Debug)]
@@ -99,6 +106,8 @@
     /// Duration of the lease in simulated time; longer if the worker's clock runs slow.
     pub lease_ms: u64,
     pub tasks: BTreeMap<String, HeldTask>,
+    /// Attempts that were started in the present agent epoch.
+    started_attempts: BTreeSet<StartedAttempt>,
     pub dead: bool,
     pub hung_until_ms: u64,
     /// All tasks that the machine starts fail.
@@ -159,6 +168,7 @@
             lease_start_ms: self.now,
             lease_ms: WORKER_LEASE_MS + self.clock_skew * WORKER_LEASE_MS / 2_000,
             tasks: BTreeMap::new(),
+            started_attempts: BTreeSet::new(),
             dead: false,
             hung_until_ms: 0,
             fails_all_tasks: false,
@@ -182,6 +192,7 @@
         let Some(worker) = self.workers.get_mut(name) else { return };
         worker.dead = true;
         worker.tasks.clear();
+        worker.started_attempts.clear();
         worker.agent_epoch += 1;
         self.schedule_after(ms, SimulationEvent::MachineRebooted { machine: name.into() });
     }
@@ -398,6 +409,7 @@
         let mut status = 200;
         if call.target == "/orders" {
             let request: OrdersRequest = from_cbor(&call.body).unwrap();
+            self.empty_commands += u64::from(request.orders.is_empty());
             let worker = self.workers.get_mut(name).unwrap();
             if request.fencing_token < worker.fencing_token
                 || request.agent_epoch != worker.agent_epoch
@@ -466,6 +478,7 @@
                 return;
             }
         }
+        self.check_attempt_starts_once(name, &task, attempt);
         self.check_start(name, &task, &spec);
         let ends_ms = now + self.remaining_ms(&spec, &task);
         let job_fails = self.failing_jobs.get_mut(&spec.id).map(|failed| *failed += 1).is_some();
@@ -495,6 +508,16 @@
         }
     }
 
+    /// Checks that a worker starts no attempt again after it was told to forget it.
+    fn check_attempt_starts_once(&mut self, name: &str, task: &str, attempt: u64) {
+        let started = StartedAttempt { task: task.to_string(), attempt };
+        let is_first = self.workers.get_mut(name).unwrap().started_attempts.insert(started);
+        if !is_first {
+            let now = self.now;
+            self.violation(format!("attempt {attempt} of {task} starts again on {name} at {now}"));
+        }
+    }
+
     /// Returns the time that a task runs once its image is available: a task that has completed
     /// before exits immediately, and a service replica runs indefinitely.
     fn remaining_ms(&self, spec: &JobSpec, task: &str) -> u64 {
@@ -521,6 +544,7 @@
         let worker = self.workers.get_mut(name).unwrap();
         if now > worker.lease_start_ms + worker.lease_ms {
             worker.tasks.clear();
+            worker.started_attempts.clear();
             worker.agent_epoch += 1;
             worker.lease_start_ms = now;
         }
--- a/crates/core/tests/simulation/fault_search.rs
+++ b/crates/core/tests/simulation/fault_search.rs
@@ -28,6 +28,8 @@
 const FIRST_FAULT_MS: u64 = 6_000;
 /// Time from the start of the run by which the drawn faults are to be over.
 const LAST_FAULT_MS: u64 = 70_000;
+/// Share of the runs in which commands are delivered a second time.
+const DUPLICATE_COMMANDS_SHARE: f64 = 0.4;
 /// Length of a controller's lease in the state service.
 const MEMBER_LEASE_MS: u64 = WORKER_LEASE_MS / 4;
 /// How long a leader may issue orders without its lease.
@@ -108,6 +110,10 @@
     },
     /// Users repeat submissions, abort completed jobs, and submit jobs that cannot run.
     RepeatedOrInvalidRequests,
+    /// A share of the commands to workers is delivered a second time.
+    DuplicateCommands {
+        share: f64,
+    },
 }
 
 /// A milestone of the run and the time after it at which a fault is injected.
@@ -244,6 +250,11 @@
         faults.push(Fault { kind: draw_fault_kind(rng), at_ms, trigger, for_ms });
         at_ms += shortly_after(rng) + if rng.random_bool(0.25) { for_ms } else { 0 };
     }
+    // Drawn last, so that the other faults of a seed don't depend on it.
+    if rng.random_bool(DUPLICATE_COMMANDS_SHARE) {
+        let kind = FaultKind::DuplicateCommands { share: rng.random_range(0.2..0.9) };
+        faults.push(Fault { kind, at_ms: FIRST_FAULT_MS, trigger: None, for_ms: LAST_FAULT_MS });
+    }
     faults
 }
 
@@ -499,6 +510,10 @@
             FaultKind::MachineReboot { machine } => {
                 cluster.reboot_machine(&machine_at(machine), down_ms)
             }
+            FaultKind::DuplicateCommands { share } => {
+                let delay = RandomDelay { share, from_ms: 2_000, to_ms: 16_000 };
+                cluster.duplicate_commands = Some(delay);
+            }
             FaultKind::LostAnswers { share } => cluster.state.lost_answer_share = share,
             FaultKind::StaleHeartbeats { share } => cluster.stale_heartbeat_share = share,
             FaultKind::LostHeartbeats { first, count } => {
@@ -530,6 +545,7 @@
             FaultKind::SlowState { .. } => cluster.state.extra_latency_ms = 0,
             FaultKind::DelayedWrites { .. } => cluster.state.delayed_writes = None,
             FaultKind::DuplicateHeartbeats { .. } => cluster.duplicate_heartbeats = None,
+            FaultKind::DuplicateCommands { .. } => cluster.duplicate_commands = None,
             FaultKind::LostInbound { .. } => cluster.inbound_loss.clear(),
             FaultKind::LostAnswers { .. } => cluster.state.lost_answer_share = 0.0,
             FaultKind::LostHeartbeats { .. } => cluster.lost_heartbeats.clear(),
--- a/crates/core/tests/simulation/main.rs
+++ b/crates/core/tests/simulation/main.rs
@@ -9,6 +9,7 @@
 mod aborts;
 mod cluster;
 mod dependencies;
+mod duplicate_commands;
 mod failover;
 mod fault_search;
 mod fleet_size;
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -75,6 +75,19 @@
     Unknown,
 }
 
+/// A start of an attempt by a machine's agent.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AttemptStart {
+    /// Name of the machine.
+    pub machine: String,
+    /// Incarnation of the machine's agent.
+    pub agent_epoch: u64,
+    /// Name of the task.
+    pub task: String,
+    /// Attempt number of the task.
+    pub attempt: u64,
+}
+
 /// The history of a run.
 #[derive(Default)]
 pub struct History {
@@ -82,6 +95,8 @@
     pub jobs: BTreeMap<String, JobHistory>,
     /// The tasks that are running, by name.
     live_tasks: BTreeMap<String, LiveTask>,
+    /// All attempts that agents have started.
+    started_attempts: BTreeSet<AttemptStart>,
     /// When the last fault was over; `None` until then.
     pub faults_over_ms: Option<u64>,
     /// For each job and controller, when the first of the queries that are unanswered was sent.
@@ -288,6 +303,15 @@
         self.live_tasks.insert(task.to_string(), live);
     }
 
+    /// Records that an agent starts an attempt, which it must do only once.
+    pub fn on_attempt_started(&mut self, now_ms: u64, start: AttemptStart) {
+        let AttemptStart { machine, task, attempt, .. } = &start;
+        let description = format!("restarted: {machine} starts attempt {attempt} of {task} again");
+        if !self.started_attempts.insert(start) {
+            self.record_violation(now_ms, description);
+        }
+    }
+
     /// Records that a task no longer runs on a machine.
     pub fn on_task_removed(&mut self, machine: &str, task: &str) {
         if self.live_tasks.get(task).is_some_and(|live| live.machine == machine) {
--- a/crates/soak/src/machine.rs
+++ b/crates/soak/src/machine.rs
@@ -7,7 +7,7 @@
 
 use quartzgate_wire::msg::{ExitCause, Heartbeat, HeartbeatTask, JobKind, Order, TaskStatus};
 
-use crate::checks::job_of;
+use crate::checks::{job_of, AttemptStart};
 use crate::cloud::{MACHINE_CPUS, MACHINE_TYPE};
 use crate::schedule::FaultKind;
 use crate::settings::LEASE_MS;
@@ -206,6 +206,11 @@
             }
             return;
         }
+        let agent_epoch = machine.agent_epoch;
+        let start =
+            AttemptStart { machine: name.to_string(), agent_epoch, task: task.clone(), attempt };
+        self.history.on_attempt_started(now_ms, start);
+        let Some(machine) = self.machines.get_mut(name) else { return };
         if is_completed {
             machine.tasks.insert(task, exited_task(attempt, spec.cpus, ExitCause::Done));
             return;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -67,6 +67,8 @@
     LateHeartbeats { share: f64 },
     /// A share of the orders is carried out late and gets no answer.
     LateOrders { share: f64 },
+    /// A share of the orders is delivered a second time, after it was carried out.
+    CopiedOrders { share: f64 },
     /// Users cancel several open jobs at once.
     CancelBurst,
 }
@@ -82,7 +84,8 @@
             | FaultKind::MuteWorkers { share }
             | FaultKind::HungWorkers { share }
             | FaultKind::LateHeartbeats { share }
-            | FaultKind::LateOrders { share } => share,
+            | FaultKind::LateOrders { share }
+            | FaultKind::CopiedOrders { share } => share,
             _ => 0.0,
         }
     }
@@ -127,6 +130,7 @@
     let mut faults: Vec<Fault> =
         (0..count).map(|_| draw_fault(rng, nodes, from_ms, until_ms)).collect();
     faults.extend(draw_leader_kills(rng, from_ms, until_ms));
+    faults.push(draw_copied_orders(rng, from_ms, until_ms));
     faults.sort_by_key(|fault| fault.start_ms);
     faults
 }
@@ -188,6 +192,14 @@
     (0..length).map(kill).collect()
 }
 
+/// Draws the fault that delivers orders a second time, which every run has.
+fn draw_copied_orders(rng: &mut SmallRng, from_ms: u64, until_ms: u64) -> Fault {
+    let duration_ms = rng.random_range(FAULT_DURATION_MS).min(until_ms - from_ms);
+    let start_ms = rng.random_range(from_ms..=until_ms - duration_ms);
+    let kind = FaultKind::CopiedOrders { share: rng.random_range(0.3..0.9) };
+    Fault { start_ms, duration_ms, kind }
+}
+
 #[cfg(test)]
 #[path = "../tests/unit/schedule.rs"]
 mod tests;
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -27,7 +27,7 @@
 const MIN_HEARTBEAT_INTERVAL_MS: u64 = 500;
 /// Interval at which an agent checks its tasks, its lease and whether a heartbeat is due.
 const AGENT_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Range of delays of duplicated heartbeats and of delayed orders.
+/// Range of delays of duplicated heartbeats and of delayed or duplicated orders.
 const FAULT_DELAY_MS: std::ops::RangeInclusive<u64> = 500..=12_000;
 
 /// Adds a machine that has booted after `boot_ms`, and starts its agent. Returns the machine's
@@ -110,11 +110,31 @@
             wait_while_hung(&world, &name).await;
             heartbeat_response(&world, &name, 200)
         }
-        "/orders" => execute_orders_request(&world, &name, &request.body).await,
+        "/orders" => {
+            let response = execute_orders_request(&world, &name, &request.body).await;
+            deliver_copy_late(&world, &name, request.body);
+            response
+        }
         _ => Some(Response::new(404, Vec::new())),
     }
 }
 
+/// If a fault affects these orders, delivers them to the agent a second time after a delay.
+fn deliver_copy_late(world: &SharedWorld, name: &str, body: Vec<u8>) {
+    let delay_ms = {
+        let mut world = world.borrow_mut();
+        if !world.fault_affects_message(|kind| matches!(kind, FaultKind::CopiedOrders { .. })) {
+            return;
+        }
+        world.rng.random_range(FAULT_DELAY_MS)
+    };
+    let (world, name) = (world.clone(), name.to_string());
+    tokio::task::spawn_local(async move {
+        sleep(Duration::from_millis(delay_ms)).await;
+        execute_orders_request(&world, &name, &body).await;
+    });
+}
+
 async fn wait_while_hung(world: &SharedWorld, name: &str) {
     loop {
         {
--- a/crates/soak/tests/unit/checks.rs
+++ b/crates/soak/tests/unit/checks.rs
@@ -79,6 +79,23 @@
     assert_violated(&history, "ran_twice");
 }
 
+#[test]
+fn attempt_that_an_agent_starts_again_is_reported() {
+    let mut history = history_with_accepted_job();
+    let start = |agent_epoch, attempt| AttemptStart {
+        machine: "vm-1".into(),
+        agent_epoch,
+        task: TASK.into(),
+        attempt,
+    };
+    history.on_attempt_started(200, start(1, 1));
+    history.on_attempt_started(300, start(1, 2));
+    history.on_attempt_started(400, start(2, 1));
+    assert!(history.violations.is_empty());
+    history.on_attempt_started(500, start(1, 1));
+    assert_violated(&history, "restarted");
+}
+
 #[test]
 fn start_long_after_cancellation_is_reported() {
     let mut history = history_with_accepted_job();
--- a/crates/soak/tests/unit/schedule.rs
+++ b/crates/soak/tests/unit/schedule.rs
@@ -30,3 +30,11 @@
         assert!(faults.windows(2).any(overlaps), "seed {seed}: no two faults overlap");
     }
 }
+
+#[test]
+fn every_schedule_delivers_orders_twice() {
+    for seed in 0..50 {
+        let copies = |fault: &Fault| matches!(fault.kind, FaultKind::CopiedOrders { .. });
+        assert!(schedule(seed).iter().any(copies), "seed {seed}");
+    }
+}
