Soak: give the controllers ports that no other socket takes meanwhile

Cause: the soak took free ports by binding to port 0 and releasing them, and started the controllers on them later. Change: the ports are below the range of ephemeral ports, and still tried first.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -42,6 +42,8 @@
 const KEEP_IDLE_RATIO: f64 = 10_000.0;
 /// Idle ratio for an ordinary fleet, whose machines are released and provisioned during a run.
 const RELEASE_IDLE_RATIO: f64 = 0.5;
+/// Ports of the controllers, below the range from which the system takes ephemeral ports.
+const CONTROLLER_PORTS: std::ops::Range<u16> = 21_000..21_200;
 /// Metric that counts the status queries refused past the stated limit of unanswered time.
 const OVERDUE_METRIC: &str = "unanswered_overdue";
 
@@ -435,11 +437,18 @@
     }
 }
 
-/// Returns `count` addresses on which nothing listens once the function has returned.
+/// Returns `count` addresses on which nothing listens once the function has returned. Their ports
+/// are none that the system gives to other sockets before the controllers listen.
 async fn free_addresses(ip: IpAddr, count: usize) -> Result<Vec<SocketAddr>, RunError> {
     let mut listeners = Vec::new();
-    for _ in 0..count {
-        listeners.push(listen(ip).await?);
+    for port in CONTROLLER_PORTS {
+        if listeners.len() < count {
+            listeners.extend(TcpListener::bind((ip, port)).await);
+        }
+    }
+    if listeners.len() < count {
+        let source = io::Error::from(io::ErrorKind::AddrInUse);
+        return Err(RunError::Io { operation: "finding free ports for the controllers", source });
     }
     listeners.iter().map(address_of).collect()
 }
