--- a/crates/core/src/api/abort.rs
+++ b/crates/core/src/api/abort.rs
@@ -231,8 +231,8 @@
                 self.note_store_answer();
                 tracing::info!(job = %job, "aborted without the leader");
                 self.on_abort_recorded(&job);
-                self.notify_abort(&job);
-                self.answer_terminal(id, &job, RecordedStatus::Aborted)
+                self.answer_terminal(id, &job, RecordedStatus::Aborted);
+                self.notify_other_followers(&job);
             }
             Outcome::Answer(answer) if answer.status != 409 => {
                 self.on_store_throttled(answer.status);
@@ -242,33 +242,44 @@
         }
     }
 
-    /// Notifies the other controllers of a recorded abort, so that even a leader without access to
-    /// the store stops the job's tasks at once. The messages are best effort: the handoff entry and
-    /// the lease bound are sufficient without them.
-    fn notify_abort(&mut self, job: &str) {
-        for sibling in 0..self.context.config.platform.siblings.len() {
-            let mut message = self.mesh_message();
-            message.forward = Some(Forward {
-                method: "POST".to_string(),
-                path: format!("{ABORTED_PATH}{job}"),
-                body: Vec::new(),
-            });
-            let timeout_ms = self.context.config.mesh_timeout_ms();
-            let (peer, body) = (Peer::Sibling(sibling), to_cbor(&message));
-            self.call(peer, "POST", "/mesh".into(), body, timeout_ms, InFlight::AbortNotice);
+    /// Notifies the other controllers, except the leader, of a recorded abort. The messages are
+    /// best effort, for promptness alone.
+    fn notify_other_followers(&mut self, job: &str) {
+        let leader = self.leader_index();
+        let siblings = 0..self.context.config.platform.siblings.len();
+        for sibling in siblings.filter(|sibling| Some(*sibling) != leader) {
+            self.send_abort_notice(sibling, job);
         }
     }
 
+    /// Notifies another controller of a recorded abort. Even a leader without access to the store
+    /// then stops the job's tasks at once.
+    pub(super) fn send_abort_notice(&mut self, sibling: usize, job: &str) {
+        let mut message = self.mesh_message();
+        message.forward = Some(Forward {
+            method: "POST".to_string(),
+            path: format!("{ABORTED_PATH}{job}"),
+            body: Vec::new(),
+        });
+        let timeout_ms = self.context.config.mesh_timeout_ms();
+        let (peer, body) = (Peer::Sibling(sibling), to_cbor(&message));
+        let call = InFlight::AbortNotice { job: job.to_string() };
+        self.call(peer, "POST", "/mesh".into(), body, timeout_ms, call);
+    }
+
     /// Handles a peer's notice of a recorded abort. A delayed notice is valid as well, since an
-    /// abort is final.
+    /// abort is final. A leader answers with status 200 if it acknowledges the abort, so that the
+    /// peer may confirm it, and with 202 if the peer has to wait.
     pub(crate) fn on_abort_notice(&mut self, id: RequestId, job: &str) {
         if !valid_job_id(job) {
             return self.answer_error(id, 400, "malformed ref");
         }
         self.on_abort_for_proxy(job);
         self.on_abort_recorded(job);
+        let is_leader = self.membership.role().holds_leadership();
+        let status = if is_leader && !self.may_acknowledge_abort(job) { 202 } else { 200 };
         let body = to_cbor(&self.mesh_message());
-        self.answer(id, Response::new(200, body));
+        self.answer(id, Response::new(status, body));
     }
 
     /// Applies an abort that another controller recorded. If the job is in memory and not aborted
--- a/crates/core/src/api/forwarding.rs
+++ b/crates/core/src/api/forwarding.rs
@@ -118,7 +118,10 @@
             JobStatus::Done => self.learn_terminal_state(&job.id, RecordedStatus::Done),
             // This controller may have become the leader since and read the record before the
             // abort.
-            JobStatus::Aborted => self.on_abort_recorded(&job.id),
+            JobStatus::Aborted => {
+                self.on_abort_recorded(&job.id);
+                self.learn_confirmed_abort(&job.id);
+            }
             _ => {}
         }
     }
--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -11,6 +11,8 @@
 //!   sends them to that controller.
 //! - [`submit`] and [`abort`] record submissions and aborts; [`handoff`] imports those that were
 //!   recorded without the leader into the leader's memory.
+//! - [`abort_confirmations`] holds back the confirmation of an abort while a leader that doesn't know
+//!   it may start tasks.
 //! - [`status`] answers status queries from records. [`status_queries`] answers them from the
 //!   leader's memory and validates many answers with one read; [`status_reads`] reads the records
 //!   for all other queries, the longest unanswered job first.
@@ -20,6 +22,7 @@
 //!   [`admission`] limits how many submissions are accepted.
 
 mod abort;
+pub(crate) mod abort_confirmations;
 mod admissibility;
 pub(crate) mod admission;
 pub(crate) mod forwarding;
--- a/crates/core/src/api/refusal.rs
+++ b/crates/core/src/api/refusal.rs
@@ -30,13 +30,16 @@
     AdmissibilityUnknown,
     /// This controller is not ready to serve users.
     NotReady,
+    /// A leader asks for a start lease, or a user for the state of an aborted job, while the abort
+    /// can't be confirmed yet.
+    AbortUnconfirmed,
 }
 
 const REASON_COUNT: usize = RefusalReason::ALL.len();
 
 impl RefusalReason {
     /// All reasons, in the order of their declaration.
-    const ALL: [RefusalReason; 13] = [
+    const ALL: [RefusalReason; 14] = [
         RefusalReason::ReadLimit,
         RefusalReason::WriteLimit,
         RefusalReason::StoreFailed,
@@ -50,6 +53,7 @@
         RefusalReason::DependenciesUnknown,
         RefusalReason::AdmissibilityUnknown,
         RefusalReason::NotReady,
+        RefusalReason::AbortUnconfirmed,
     ];
 
     /// Returns the reason's name in metrics and logs. The names are stable across versions.
@@ -68,6 +72,7 @@
             RefusalReason::DependenciesUnknown => "dependencies_unknown",
             RefusalReason::AdmissibilityUnknown => "admissibility_unknown",
             RefusalReason::NotReady => "not_ready",
+            RefusalReason::AbortUnconfirmed => "abort_unconfirmed",
         }
     }
 }
--- a/crates/core/src/api/status.rs
+++ b/crates/core/src/api/status.rs
@@ -112,8 +112,21 @@
         }
     }
 
-    /// Answers that a job has reached the terminal state `status`.
+    /// Answers that a job has reached the terminal state `status`, which for an abort may take until
+    /// it can be confirmed.
     pub(crate) fn answer_terminal(&mut self, id: RequestId, job: &str, status: RecordedStatus) {
+        match status {
+            RecordedStatus::Done => self.answer_with_terminal_state(id, job, status),
+            RecordedStatus::Aborted | RecordedStatus::Live => self.confirm_abort(id, job),
+        }
+    }
+
+    pub(super) fn answer_with_terminal_state(
+        &mut self,
+        id: RequestId,
+        job: &str,
+        status: RecordedStatus,
+    ) {
         let status = match status {
             RecordedStatus::Done => JobStatus::Done,
             RecordedStatus::Aborted | RecordedStatus::Live => JobStatus::Aborted,
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -172,6 +172,20 @@
         (self.lease_ms() / 4).max(1000)
     }
 
+    /// Returns the length of the lease under which a leader starts tasks. It is shorter than a
+    /// controller's lease, so that a start lease which a controller has granted to an earlier leader
+    /// is over, or nearly so, when the next one is elected.
+    pub fn start_lease_ms(&self) -> u64 {
+        self.controller_lease_ttl_ms() * 3 / 4
+    }
+
+    /// Returns how long after granting a start lease a controller must take it for held, on its own
+    /// clock.
+    pub fn start_lease_expiry_ms(&self) -> u64 {
+        let lease_ms = self.start_lease_ms();
+        lease_ms + (lease_ms as f64 * DRIFT_ALLOWANCE).ceil() as u64 + 1
+    }
+
     /// Returns the time between two renewals of a controller's lease.
     pub fn lease_renewal_ms(&self) -> u64 {
         self.controller_lease_ttl_ms() / 4
--- a/crates/core/src/context.rs
+++ b/crates/core/src/context.rs
@@ -57,10 +57,25 @@
         target: String,
         body: Vec<u8>,
         timeout_ms: u64,
+    ) -> CallId {
+        self.call_within(peer, method, target, body, timeout_ms, timeout_ms)
+    }
+
+    /// Requests a call that must not be sent later than `send_within_ms` from now.
+    pub fn call_within(
+        &mut self,
+        peer: Peer,
+        method: &'static str,
+        target: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+        send_within_ms: u64,
     ) -> CallId {
         let id = self.next_call;
         self.next_call += 1;
-        self.actions.push(Action::Call(Call { id, peer, method, target, body, timeout_ms }));
+        let send_within_ms = send_within_ms.min(timeout_ms);
+        let call = Call { id, peer, method, target, body, timeout_ms, send_within_ms };
+        self.actions.push(Action::Call(call));
         id
     }
 
--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -6,6 +6,7 @@
 use quartzgate_wire::msg::MachineType;
 use rand::rngs::SmallRng;
 
+use crate::api::abort_confirmations::AbortConfirmations;
 use crate::api::admission::AdmissionControl;
 use crate::api::forwarding::ForwardFailures;
 use crate::api::query_tracking::{OverdueJob, QueryTracker};
@@ -67,6 +68,7 @@
     pub(crate) lease_proxy: LeaseProxy,
     pub(crate) status_queries: StatusQueries,
     pub(crate) status_reads: StatusReads,
+    pub(crate) abort_confirmations: AbortConfirmations,
     pub(crate) query_tracker: QueryTracker,
     pub(crate) forward_failures: ForwardFailures,
     pub(crate) job_batches: JobBatches,
@@ -142,6 +144,7 @@
             lease_proxy,
             status_queries: StatusQueries::default(),
             status_reads,
+            abort_confirmations: AbortConfirmations::default(),
             query_tracker,
             forward_failures: ForwardFailures::default(),
             job_batches: JobBatches::default(),
@@ -230,6 +233,7 @@
         self.tick_mailbox();
         self.tick_status_queries();
         self.tick_status_reads();
+        self.tick_abort_confirmations();
         self.tick_dependencies();
         self.scan_batches();
         if !self.leads() {
@@ -301,7 +305,7 @@
     pub(crate) fn on_outcome(&mut self, pending: InFlight, outcome: Outcome) {
         let current_epoch = self.epoch();
         match pending {
-            InFlight::AbortNotice => {}
+            InFlight::AbortNotice { job } => self.on_abort_notice_outcome(&job, outcome),
             InFlight::ProxiedJobRead { job, sent_ms } => {
                 self.on_proxied_job_read(job, sent_ms, outcome)
             }
--- a/crates/core/src/fleet/calls.rs
+++ b/crates/core/src/fleet/calls.rs
@@ -25,7 +25,32 @@
     Release { machines: Vec<MachineIndex>, epoch: u64 },
 }
 
+/// Limits of time of an outgoing call, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CallLimits {
+    /// Time after which the outcome is unknown.
+    pub timeout_ms: u64,
+    /// Time after which the call must not be sent any more.
+    pub send_within_ms: u64,
+}
+
 impl Controller {
+    /// Makes an outgoing call that must leave this controller within a limit, and stores its purpose
+    /// until the outcome arrives.
+    pub(super) fn call_for_fleet_within(
+        &mut self,
+        peer: Peer,
+        method: &'static str,
+        target: String,
+        body: Vec<u8>,
+        limits: CallLimits,
+        purpose: FleetCall,
+    ) {
+        let CallLimits { timeout_ms, send_within_ms } = limits;
+        let call = self.context.call_within(peer, method, target, body, timeout_ms, send_within_ms);
+        self.fleet_calls.insert(call, purpose);
+    }
+
     /// Makes an outgoing call and stores its purpose until the outcome arrives.
     pub(super) fn call_for_fleet(
         &mut self,
@@ -36,8 +61,8 @@
         timeout_ms: u64,
         purpose: FleetCall,
     ) {
-        let call = self.context.call(peer, method, target, body, timeout_ms);
-        self.fleet_calls.insert(call, purpose);
+        let limits = CallLimits { timeout_ms, send_within_ms: timeout_ms };
+        self.call_for_fleet_within(peer, method, target, body, limits, purpose);
     }
 
     /// Dispatches the outcome of a call. The outcome of a command, provisioning or release is
--- a/crates/core/src/fleet/commands.rs
+++ b/crates/core/src/fleet/commands.rs
@@ -14,7 +14,7 @@
 use quartzgate_wire::msg::{Forward, Heartbeat, Order, OrdersRequest};
 use quartzgate_wire::{from_cbor, to_cbor};
 
-use super::calls::FleetCall;
+use super::calls::{CallLimits, FleetCall};
 use super::heartbeats::is_plausible;
 use super::machine::{Machine, MachineState};
 use crate::controller::Controller;
@@ -98,13 +98,17 @@
     /// `None` if no command is due or if none may be sent at present.
     fn prepare_command(&mut self, index: MachineIndex) -> Option<Command> {
         let mut orders = self.reconciling_orders(index);
+        let may_start_tasks = self.may_start_tasks();
         let now_ms = self.context.now.steady_ms;
         let machine = self.machines.get_mut(index)?;
         let addr = machine.addr?;
         if machine.refuses_commands() {
             return None;
         }
-        let starts = std::mem::take(&mut machine.pending_starts);
+        let starts = match may_start_tasks {
+            true => std::mem::take(&mut machine.pending_starts),
+            false => Vec::new(),
+        };
         let may_send = machine.reachability.may_send_command(now_ms) || !starts.is_empty();
         let nothing_due = starts.is_empty() && orders.is_empty() && !machine.needs_empty_command();
         if nothing_due || !may_send {
@@ -140,8 +144,24 @@
         let timeout_ms = self.context.config.worker_timeout_ms();
         let (peer, body) = (Peer::Worker(command.addr), to_cbor(&command.request));
         let fencing_token = command.request.fencing_token;
+        let send_within_ms = self.send_limit_ms(&command.starts);
         let purpose = FleetCall::Command { machine: index, fencing_token, starts: command.starts };
-        self.call_for_fleet(peer, "POST", "/orders".into(), body, timeout_ms, purpose)
+        let limits = CallLimits { timeout_ms, send_within_ms };
+        self.call_for_fleet_within(peer, "POST", "/orders".into(), body, limits, purpose)
+    }
+
+    /// Returns whether a command to a machine awaits its outcome.
+    pub(crate) fn awaits_command_outcome(&self, index: MachineIndex) -> bool {
+        self.machines.get(index).is_some_and(|machine| machine.command_in_flight)
+    }
+
+    /// Returns within which time a command must leave this controller: with starts, while the start
+    /// lease is held.
+    pub(crate) fn send_limit_ms(&self, starts: &[(TaskKey, u64)]) -> u64 {
+        match starts.is_empty() {
+            true => u64::MAX,
+            false => self.start_lease_left_ms(),
+        }
     }
 
     fn send_relayed(&mut self, index: MachineIndex, sibling: usize, command: Command) {
@@ -152,9 +172,11 @@
         message.forward = Some(Forward { method, path, body: to_cbor(&envelope) });
         let timeout_ms =
             self.context.config.worker_timeout_ms() + self.context.config.mesh_timeout_ms();
+        let send_within_ms = self.send_limit_ms(&command.starts);
         let purpose = FleetCall::Command { machine: index, fencing_token, starts: command.starts };
         let (peer, body) = (Peer::Sibling(sibling), to_cbor(&message));
-        self.call_for_fleet(peer, "POST", "/mesh".into(), body, timeout_ms, purpose)
+        let limits = CallLimits { timeout_ms, send_within_ms };
+        self.call_for_fleet_within(peer, "POST", "/mesh".into(), body, limits, purpose)
     }
 
     /// Returns the route for commands to a machine. A machine that can't be reached directly is
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -25,6 +25,7 @@
 
 pub(crate) use calls::FleetCall;
 pub(crate) use out_of_zone_workers::OutOfZoneWorkers;
+pub(crate) use relayed_orders::{has_starts, without_starts};
 
 /// Types that describe machines, re-exported for the modules that place work on machines.
 pub(crate) mod machines {
--- a/crates/core/src/fleet/relayed_orders.rs
+++ b/crates/core/src/fleet/relayed_orders.rs
@@ -5,6 +5,17 @@
 use crate::controller::Controller;
 use crate::ids::parse_task;
 
+/// Returns whether orders start a task.
+pub(crate) fn has_starts(request: &OrdersRequest) -> bool {
+    request.orders.iter().any(|order| matches!(order, Order::Start { .. }))
+}
+
+/// Removes all starts from orders.
+pub(crate) fn without_starts(mut request: OrdersRequest) -> OrdersRequest {
+    request.orders.retain(|order| !matches!(order, Order::Start { .. }));
+    request
+}
+
 impl Controller {
     /// Removes the starts of jobs that this controller knows to have ended: such a job may have
     /// been aborted since the leader decided to start its tasks.
--- a/crates/core/src/in_flight.rs
+++ b/crates/core/src/in_flight.rs
@@ -50,8 +50,8 @@
     ValidatedRead { read: ValidatedRead, epoch: u64 },
     /// A user's request that was forwarded to another controller.
     Forward { request: RequestId, sibling: usize, user_request: Box<UserRequest> },
-    /// A notice to another controller that a job is aborted; nothing depends on its outcome.
-    AbortNotice,
+    /// A notice to another controller that a job is aborted.
+    AbortNotice { job: String },
     /// A read of the machine types that the cloud offers.
     MachineTypesRead,
 }
--- a/crates/core/src/jobs/dependencies/mod.rs
+++ b/crates/core/src/jobs/dependencies/mod.rs
@@ -167,6 +167,12 @@
         }
     }
 
+    /// Records that a job is aborted and that a user may be told so.
+    pub(crate) fn learn_confirmed_abort(&mut self, id: &str) {
+        self.learn_terminal_state(id, RecordedStatus::Aborted);
+        self.terminal_jobs.mark_confirmed(id);
+    }
+
     /// Applies recorded terminal states to the dependents, and propagates priorities and deadlines
     /// if the graph has changed, at most once per write batch interval.
     pub(crate) fn apply_terminal_states(&mut self) {
--- a/crates/core/src/jobs/dependencies/walks.rs
+++ b/crates/core/src/jobs/dependencies/walks.rs
@@ -182,7 +182,8 @@
     fn end_walk_as_aborted(&mut self, request: RequestId) {
         let Some(walk) = self.dependency_graph.walks.remove(&request) else { return };
         let WalkPurpose::Status(answer) = walk.purpose else { return };
-        self.learn_terminal_state(&answer.id, RecordedStatus::Aborted);
+        // No leader has ever started a task of this job, since its dependency was never done.
+        self.learn_confirmed_abort(&answer.id);
         if let Some(index) = self.jobs.find(&answer.id).filter(|_| self.leads()) {
             self.abort_through_dependency(index);
         }
--- a/crates/core/src/lease_proxy/mailbox/sending.rs
+++ b/crates/core/src/lease_proxy/mailbox/sending.rs
@@ -7,6 +7,7 @@
 use super::records::{Envelope, MailboxRecord};
 use super::{Mailbox, MailedOrders};
 use crate::controller::Controller;
+use crate::fleet::{has_starts, without_starts};
 use crate::ids::{MachineIndex, TaskKey};
 use crate::lease_proxy::LeaseProxyCall;
 use crate::storage::records::{encode, mailbox_key, EPOCH_KEY};
@@ -116,14 +117,23 @@
         self.drop_oversize(peer, max_bytes);
         let Some(batch) = self.mailbox.take_batch(peer, max_bytes, now.steady_ms) else { return };
         let order_ids = batch.orders.iter().map(|envelope| envelope.id).collect();
-        let drop_terminal_starts = |envelope: Envelope| Envelope {
-            orders: self.without_terminal_starts(envelope.orders),
+        let may_start_tasks = self.may_start_tasks();
+        let drop_forbidden_starts = |envelope: Envelope| Envelope {
+            orders: match may_start_tasks {
+                true => self.without_terminal_starts(envelope.orders),
+                false => without_starts(envelope.orders),
+            },
             ..envelope
         };
+        let orders: Vec<Envelope> = batch.orders.into_iter().map(drop_forbidden_starts).collect();
+        let send_within_ms = match orders.iter().any(|envelope| has_starts(&envelope.orders)) {
+            true => self.start_lease_left_ms(),
+            false => u64::MAX,
+        };
         let record = MailboxRecord {
             epoch: conditions.epoch,
             written_at_ms: now.wall_ms,
-            orders: batch.orders.into_iter().map(drop_terminal_starts).collect(),
+            orders,
             replies: batch.replies,
             heartbeats: batch.heartbeats,
         };
@@ -137,7 +147,7 @@
         let pause_ms = BATCH_INTERVALS_PER_WRITE * self.context.config.write_batch_ms();
         self.mailbox.on_write_sent(now.steady_ms + pause_ms);
         let call = LeaseProxyCall::WriteMailbox { order_ids };
-        self.lease_proxy.write_store(&mut self.context, body, call);
+        self.lease_proxy.write_store_within(&mut self.context, body, send_within_ms, call);
     }
 
     /// Drops the contents that are too large for any record; oversize orders count as not sent.
--- a/crates/core/src/lease_proxy/mod.rs
+++ b/crates/core/src/lease_proxy/mod.rs
@@ -72,7 +72,20 @@
 
     /// Sends a transaction to the store.
     fn write_store(&mut self, context: &mut Context, body: Vec<u8>, call: LeaseProxyCall) {
-        let id = context.call_store("POST", "/multi".into(), body);
+        self.write_store_within(context, body, u64::MAX, call);
+    }
+
+    /// Sends a transaction to the store, which must leave this controller within `send_within_ms`.
+    fn write_store_within(
+        &mut self,
+        context: &mut Context,
+        body: Vec<u8>,
+        send_within_ms: u64,
+        call: LeaseProxyCall,
+    ) {
+        let timeout_ms = context.config.store_timeout_ms();
+        let target = "/multi".to_string();
+        let id = context.call_within(Peer::State, "POST", target, body, timeout_ms, send_within_ms);
         self.calls.insert(id, call);
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -135,4 +135,7 @@
     pub body: Vec<u8>,
     /// Timeout in milliseconds, after which the outcome is [`Outcome::Lost`].
     pub timeout_ms: u64,
+    /// Time in milliseconds after the decision until which the call may be sent, at most
+    /// `timeout_ms`. A call that can't be sent by then has the outcome [`Outcome::NotSent`].
+    pub send_within_ms: u64,
 }
--- a/crates/core/src/membership/calls.rs
+++ b/crates/core/src/membership/calls.rs
@@ -36,8 +36,16 @@
         list_revision: Option<u64>,
         epoch: u64,
     },
+    /// Reads the changes of the handoff queue, to renew the start lease.
+    ReadHandoffChanges {
+        sent_ms: u64,
+        epoch: u64,
+    },
+    /// A heartbeat to a peer, sent as the leader of `epoch`; 0 if this controller did not lead.
     PeerHeartbeat {
         peer: usize,
+        sent_ms: u64,
+        epoch: u64,
     },
 }
 
@@ -60,6 +68,7 @@
             MembershipCall::Elect { epoch } => self.on_election_outcome(epoch, outcome),
             MembershipCall::WatchHandoffQueue { epoch, .. }
             | MembershipCall::ListHandoffQueue { epoch, .. }
+            | MembershipCall::ReadHandoffChanges { epoch, .. }
                 if epoch != current => {}
             MembershipCall::WatchHandoffQueue { sent_ms, .. } => {
                 self.on_handoff_queue_changed(sent_ms, outcome)
@@ -67,8 +76,11 @@
             MembershipCall::ListHandoffQueue { list_revision, .. } => {
                 self.on_handoff_queue_listed(list_revision, outcome)
             }
-            MembershipCall::PeerHeartbeat { peer } => {
-                self.on_peer_heartbeat_answered(peer, outcome)
+            MembershipCall::ReadHandoffChanges { sent_ms, .. } => {
+                self.on_handoff_changes_read(sent_ms, outcome)
+            }
+            MembershipCall::PeerHeartbeat { peer, sent_ms, epoch } => {
+                self.on_peer_heartbeat_answered(peer, sent_ms, epoch, outcome)
             }
         }
     }
--- a/crates/core/src/membership/election.rs
+++ b/crates/core/src/membership/election.rs
@@ -32,6 +32,8 @@
     epoch: u64,
     /// Store revision of that epoch's record.
     epoch_revision: u64,
+    /// Lease that the leader key is attached to, as far as this leader knows.
+    leader_key_lease: Option<u64>,
 }
 
 impl Election {
@@ -45,6 +47,16 @@
         self.epoch_revision
     }
 
+    /// Returns the lease that the leader key is attached to while this controller leads.
+    pub fn leader_key_lease(&self) -> Option<u64> {
+        self.leader_key_lease
+    }
+
+    /// Records the lease that the leader key is attached to.
+    pub fn set_leader_key_lease(&mut self, lease_id: Option<u64>) {
+        self.leader_key_lease = lease_id;
+    }
+
     /// Postpones the next campaign until `due_ms`; never moves it to an earlier time.
     pub fn postpone_until(&mut self, due_ms: u64) {
         self.due_ms = self.due_ms.max(due_ms);
@@ -160,8 +172,11 @@
         // earliest.
         self.membership.election.due_ms = now + renewal_ms;
         if candidacy.continued_epoch.is_none() {
+            self.membership.election.set_leader_key_lease(Some(lease_id));
             self.set_role(Role::Candidate { epoch });
         } else {
+            // The control keys, which are read again, show the key's lease.
+            self.membership.election.set_leader_key_lease(None);
             self.membership.epoch_watch.invalidate_until(now + renewal_ms / 2);
         }
         self.membership.election.sent_ms = now;
--- a/crates/core/src/membership/epoch_watch.rs
+++ b/crates/core/src/membership/epoch_watch.rs
@@ -327,11 +327,24 @@
         let snapshot = self.membership.observe_control_keys(&self.context, sent_ms, outcome);
         let Some(snapshot) = snapshot else { return };
         self.observe_epoch(snapshot.epoch);
+        self.observe_own_leader_key(snapshot.leader.as_ref(), sent_ms);
         self.membership.observe_leader(&mut self.context, snapshot.leader);
         self.verify_leadership();
         self.membership.watch_control_keys(&mut self.context);
     }
 
+    /// Records whether this leader's key is attached to its present lease, as a read that was sent
+    /// at `sent_ms` shows it: a key of an earlier lease has disappeared with that lease.
+    fn observe_own_leader_key(&mut self, leader: Option<&Revisioned<LeaderRecord>>, sent_ms: u64) {
+        let membership = &mut self.membership;
+        let epoch = membership.election.epoch();
+        let is_own = leader.is_some_and(|leader| leader.record.epoch == epoch);
+        let lease_id = membership.lease.id_granted_before(sent_ms).filter(|_| is_own);
+        if epoch > 0 {
+            membership.election.set_leader_key_lease(lease_id);
+        }
+    }
+
     /// Applies the changes delivered by a watch in revision order, and continues the watch.
     pub(super) fn on_control_keys_changed(&mut self, sent_ms: u64, outcome: Outcome) {
         let changes = self.membership.observe_control_changes(&self.context, sent_ms, outcome);
--- a/crates/core/src/membership/handoff_watch.rs
+++ b/crates/core/src/membership/handoff_watch.rs
@@ -39,6 +39,11 @@
         self.known_until_ms
     }
 
+    /// Returns the store revision up to which the queue has been applied.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Marks the queue as unread; a recovery has to read it again.
     pub fn invalidate(&mut self) {
         self.state = WatchState::Unread;
@@ -119,6 +124,7 @@
         self.handoff_watch.revision = changes.store_revision;
         self.handoff_watch.known_until_ms = self.handoff_watch.known_until_ms.max(sent_ms);
         self.advance_proven_contact();
+        self.prove_aborts_known(context, sent_ms);
         Some(changes)
     }
 }
@@ -138,12 +144,17 @@
     pub(super) fn on_handoff_queue_changed(&mut self, sent_ms: u64, outcome: Outcome) {
         let changes = self.membership.observe_handoff_changes(&mut self.context, sent_ms, outcome);
         let Some(changes) = changes else { return };
+        self.apply_handoff_changes(changes);
+        self.watch_handoff_queue();
+    }
+
+    /// Applies the entries that followers have added to the queue.
+    pub(super) fn apply_handoff_changes(&mut self, changes: ChangeLog) {
         for change in changes.log {
             if let (Some(key), Some(value)) = (change.set, change.value) {
                 self.on_handoff_entry(&key, &value, change.revision);
             }
         }
-        self.watch_handoff_queue();
     }
 
     /// Applies one page of the queue. The watch continues from the revision of the first page,
--- a/crates/core/src/membership/lease.rs
+++ b/crates/core/src/membership/lease.rs
@@ -35,6 +35,8 @@
     renewal_in_flight: bool,
     /// When the latest grant or renewal that succeeded was sent.
     renewed_ms: u64,
+    /// When the grant of the lease was received.
+    granted_ms: u64,
 }
 
 /// Effect of a store answer on the lease.
@@ -54,10 +56,20 @@
         }
     }
 
-    /// Returns whether the lease cannot have expired yet, with a margin of a tenth of its time to
-    /// live.
+    /// Returns the identifier of the lease while it is held, if its grant was received by `time_ms`.
+    pub fn id_granted_before(&self, time_ms: u64) -> Option<u64> {
+        self.id().filter(|_| self.granted_ms <= time_ms)
+    }
+
+    /// Returns whether the lease cannot have expired yet.
     pub fn is_certainly_held(&self, config: &Config, now_ms: u64) -> bool {
-        now_ms < self.renewed_ms + config.controller_lease_ttl_ms() * 9 / 10
+        now_ms < self.certain_until_ms(config)
+    }
+
+    /// Returns until when the lease cannot expire, in steady milliseconds, with a margin of a tenth
+    /// of its time to live.
+    pub fn certain_until_ms(&self, config: &Config) -> u64 {
+        self.renewed_ms + config.controller_lease_ttl_ms() * 9 / 10
     }
 
     /// Drops the lease; a new one is requested at the next tick.
@@ -72,9 +84,10 @@
         self.due_ms = now_ms;
     }
 
-    fn grant(&mut self, lease_id: u64, sent_ms: u64) {
+    fn grant(&mut self, lease_id: u64, sent_ms: u64, now_ms: u64) {
         self.state = LeaseState::Held { lease_id };
         self.renewed_ms = sent_ms;
+        self.granted_ms = now_ms;
     }
 }
 
@@ -116,7 +129,7 @@
             return LeaseChange::Unchanged;
         };
         self.note_store_answer(now);
-        self.lease.grant(answer.lease_id, sent_ms);
+        self.lease.grant(answer.lease_id, sent_ms, now);
         LeaseChange::Granted
     }
 
--- a/crates/core/src/membership/mesh.rs
+++ b/crates/core/src/membership/mesh.rs
@@ -8,6 +8,7 @@
 use quartzgate_wire::{from_cbor, to_cbor};
 
 use super::peers::peer_index;
+use crate::api::refusal::RefusalReason;
 use crate::api::ABORTED_PATH;
 use crate::controller::Controller;
 use crate::RequestId;
@@ -49,11 +50,18 @@
         let from = peer_index(&self.context.config, &message.from);
         match message.forward {
             Some(forward) => self.on_forwarded_request(id, from, forward),
-            None => {
-                let body = to_cbor(&self.mesh_message());
-                self.answer(id, Response::new(200, body));
-            }
+            None => self.answer_peer_heartbeat(id, &message),
+        }
+    }
+
+    /// Answers a peer's heartbeat, unless the answer would grant a start lease that this controller
+    /// may not grant now.
+    fn answer_peer_heartbeat(&mut self, id: RequestId, message: &MeshMessage) {
+        if !self.grant_starts(message) {
+            return self.answer_unavailable(id, RefusalReason::AbortUnconfirmed);
         }
+        let body = to_cbor(&self.mesh_message());
+        self.answer(id, Response::new(200, body));
     }
 
     fn on_forwarded_request(&mut self, id: RequestId, from: Option<usize>, forward: Forward) {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -8,7 +8,8 @@
 //!
 //! Safety invariant: a leader commands workers only until the lease bound has elapsed since the
 //! latest time at which it provably knew the records ([`Membership::proven_contact_ms`]). A later
-//! leader can therefore determine when an earlier one has stopped.
+//! leader can therefore determine when an earlier one has stopped. It starts tasks only while it
+//! also holds the start lease ([`start_lease`]).
 
 mod calls;
 mod election;
@@ -21,6 +22,7 @@
 mod proxy_claims;
 mod role;
 pub(crate) mod stall;
+mod start_lease;
 mod watch;
 
 use quartzgate_wire::msg::MeshMessage;
@@ -40,6 +42,7 @@
 use held_heartbeats::HeldHeartbeats;
 use lease::ControllerLease;
 use peers::{heartbeat_interval_ms, peer_index, Peers};
+use start_lease::StartLease;
 
 /// Membership state of this controller and its view of the other controllers.
 pub(crate) struct Membership {
@@ -50,6 +53,7 @@
     handoff_watch: HandoffWatch,
     peers: Peers,
     held_heartbeats: HeldHeartbeats,
+    start_lease: StartLease,
     /// When the store last answered a request, in steady milliseconds; `None` before the first
     /// answer.
     store_answered_ms: Option<u64>,
@@ -76,6 +80,7 @@
             handoff_watch: HandoffWatch::default(),
             peers: Peers::new(peer_count),
             held_heartbeats: HeldHeartbeats::new(config),
+            start_lease: StartLease::new(peer_count),
             store_answered_ms: None,
             proven_contact_ms: 0,
             store_reads: ReadBudget::new(read_rate),
@@ -379,5 +384,6 @@
         self.tick_election();
         self.membership.tick_heartbeats(&mut self.context);
         self.membership.tick_handoff_watch(&mut self.context);
+        self.tick_start_lease();
     }
 }
--- a/crates/core/src/membership/peers.rs
+++ b/crates/core/src/membership/peers.rs
@@ -160,7 +160,8 @@
         state.sent_ms = context.now.steady_ms;
         let body = to_cbor(&self.mesh_message(context));
         let timeout_ms = context.config.mesh_timeout_ms();
-        let call = MembershipCall::PeerHeartbeat { peer };
+        let (sent_ms, epoch) = (context.now.steady_ms, self.election.epoch());
+        let call = MembershipCall::PeerHeartbeat { peer, sent_ms, epoch };
         let id = context.call(Peer::Sibling(peer), "POST", "/mesh".into(), body, timeout_ms);
         self.calls.insert(id, call);
     }
@@ -178,22 +179,34 @@
 }
 
 impl Controller {
-    /// Handles the answer to a heartbeat, which contains the peer's own heartbeat.
-    pub(super) fn on_peer_heartbeat_answered(&mut self, peer: usize, outcome: Outcome) {
+    /// Handles the answer to a heartbeat, which contains the peer's own heartbeat. It grants the
+    /// start lease if the heartbeat was sent as the leader of `epoch`.
+    pub(super) fn on_peer_heartbeat_answered(
+        &mut self,
+        peer: usize,
+        sent_ms: u64,
+        epoch: u64,
+        outcome: Outcome,
+    ) {
         self.membership.peers.states[peer].heartbeat_in_flight = false;
         let Outcome::Answer(response) = outcome else { return };
         if response.status != 200 {
             return;
         }
-        if let Ok(message) = from_cbor::<MeshMessage>(&response.body) {
-            self.observe_peer(&message);
+        let Ok(message) = from_cbor::<MeshMessage>(&response.body) else { return };
+        let is_known = self.observe_peer(&message);
+        if is_known && epoch > 0 && epoch == self.epoch() {
+            self.membership.observe_grant_of_starts(&self.context, peer, sent_ms);
         }
     }
 
     /// Applies a peer's heartbeat; returns false if the peer is unknown or its mesh version
     /// differs.
     pub(crate) fn observe_peer(&mut self, message: &MeshMessage) -> bool {
-        let Some(peer) = peer_index(&self.context.config, &message.from) else { return false };
+        let Some(peer) = peer_index(&self.context.config, &message.from) else {
+            self.membership.start_lease.on_unnamed_peer();
+            return false;
+        };
         let peers = &mut self.membership.peers;
         if message.version != MESH_VERSION {
             peers.on_incompatible(peer, message);
--- a/crates/core/src/membership/role.rs
+++ b/crates/core/src/membership/role.rs
@@ -82,6 +82,7 @@
         self.clear_leader_state();
         self.membership.store_reads.reset(rate);
         self.membership.handoff_watch.invalidate();
+        self.membership.begin_start_lease(&self.context);
         tracing::info!(epoch = self.epoch(), "leader elected: recovery started");
         self.start_recovery();
     }
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -196,6 +196,7 @@
         metrics.values.extend(self.context.latencies.metrics());
         metrics.values.extend(self.context.refusals.metrics());
         metrics.values.extend(self.forward_failures.metrics());
+        metrics.values.extend(self.abort_confirmations.metrics());
         metrics.values.extend(self.event_loop_metrics.iter().cloned());
     }
 }
--- a/crates/core/src/placement/dispatch.rs
+++ b/crates/core/src/placement/dispatch.rs
@@ -41,7 +41,7 @@
 
     /// Binds tasks from a machine's queue while it has free capacity.
     fn dispatch(&mut self, machine_index: MachineIndex) {
-        if !self.may_command_workers() {
+        if !self.may_start_tasks() {
             return;
         }
         while let Some(choice) = self.choose_from_queue(machine_index) {
--- a/crates/core/src/placement/gangs.rs
+++ b/crates/core/src/placement/gangs.rs
@@ -297,7 +297,7 @@
     /// Starts a gang if its placement is recorded and its planned resources are still free. Returns
     /// false if the gang has to be placed anew.
     fn start_gang(&mut self, job_index: JobIndex) -> bool {
-        if !self.may_command_workers() {
+        if !self.may_start_tasks() {
             return true;
         }
         let Some(job) = self.jobs.get(job_index) else { return true };
--- a/crates/core/tests/simulation/cluster.rs
+++ b/crates/core/tests/simulation/cluster.rs
@@ -26,7 +26,7 @@
 
 use clock::ScheduledEvent;
 use controllers::ControllerProcess;
-use invariants::{AbortConfirmation, StartAfterAbort};
+use invariants::{AbortConfirmation, SentStart, StartAfterAbort};
 use network::{FaultyLink, HeldCall, Requester};
 use quartzgate_feature_gates::GateTable;
 use quartzgate_wire::msg::{JobKind, JobSpec, JobStatus, Priority};
@@ -167,6 +167,8 @@
     abort_confirmed_by: BTreeSet<AbortConfirmation>,
     /// Jobs whose abort was requested, whether or not the request succeeded.
     abort_requested: BTreeSet<String>,
+    /// When the start of each attempt left the leader.
+    starts_sent: BTreeMap<SentStart, u64>,
     /// Start orders that were sent after a user had been told that the job is aborted.
     pub starts_after_abort: Vec<StartAfterAbort>,
     /// Submissions that must be refused, with the expected status code.
@@ -246,6 +248,7 @@
             abort_confirmed_at: BTreeMap::new(),
             abort_confirmed_by: BTreeSet::new(),
             abort_requested: BTreeSet::new(),
+            starts_sent: BTreeMap::new(),
             starts_after_abort: Vec::new(),
             must_refuse: BTreeMap::new(),
             query_on_change: false,
--- a/crates/core/tests/simulation/cluster/faults.rs
+++ b/crates/core/tests/simulation/cluster/faults.rs
@@ -174,6 +174,7 @@
         target: call.target.clone(),
         body: call.body.clone(),
         timeout_ms: call.timeout_ms,
+        send_within_ms: call.send_within_ms,
     }
 }
 
--- a/crates/core/tests/simulation/main.rs
+++ b/crates/core/tests/simulation/main.rs
@@ -6,6 +6,7 @@
 //! violation. Each of the other modules holds the tests of one module or one family of faults. A
 //! run is determined by its seed.
 
+mod abort_confirmations;
 mod aborts;
 mod cluster;
 mod dependencies;
--- a/crates/quartzgate/src/connection.rs
+++ b/crates/quartzgate/src/connection.rs
@@ -74,7 +74,7 @@
     Pending,
     /// The connection is established; the request can be sent.
     Complete,
-    /// The peer refused the connection, or the call's deadline has passed; nothing was sent.
+    /// The peer refused the connection, or the call may not be sent any more; nothing was sent.
     Failed,
 }
 
@@ -120,6 +120,8 @@
     last_active_ms: u64,
     /// Deadline of the current call or of the current phase of the exchange.
     deadline_ms: u64,
+    /// Outbound: deadline of the call for which the connection is being opened.
+    call_deadline_ms: u64,
     /// Inbound: time at which a request was last answered with status 200; 0 if none was.
     last_success_ms: u64,
     /// Inbound: whether a worker has sent a heartbeat on this connection.
@@ -154,7 +156,8 @@
         let (direction, state) = (Direction::Outbound(peer), State::Connecting(call.id));
         let mut connection = Self::new(stream, direction, state, max_body_bytes, now_ms);
         connection.output = call.bytes;
-        connection.deadline_ms = call.deadline_ms;
+        connection.deadline_ms = call.send_by_ms;
+        connection.call_deadline_ms = call.deadline_ms;
         connection
     }
 
@@ -175,6 +178,7 @@
             written: 0,
             last_active_ms: now_ms,
             deadline_ms: NO_DEADLINE,
+            call_deadline_ms: NO_DEADLINE,
             last_success_ms: 0,
             serves_worker: false,
             close_after_exchange: false,
@@ -413,13 +417,16 @@
 pub struct OutboundRequest {
     pub id: CallId,
     pub bytes: Vec<u8>,
+    /// Time until which the response may arrive.
     pub deadline_ms: u64,
+    /// Time until which the request may be sent.
+    pub send_by_ms: u64,
 }
 
 /// Outbound connections: calls are carried one at a time.
 impl Connection {
     /// Checks whether the TCP handshake is complete. The handshake fails if the socket becomes
-    /// ready only after the call's deadline.
+    /// ready only when the call may not be sent any more.
     pub fn advance_handshake(&mut self, ready: Readiness, now_ms: u64) -> Handshake {
         let State::Connecting(call) = self.state else { return Handshake::Complete };
         if !ready.readable && !ready.writable {
@@ -430,7 +437,7 @@
         }
         match self.stream.peer_addr() {
             Ok(_) if self.stream.take_error().ok().flatten().is_none() => {
-                self.transition_to(State::Calling(call), now_ms, self.deadline_ms);
+                self.transition_to(State::Calling(call), now_ms, self.call_deadline_ms);
                 Handshake::Complete
             }
             Err(e) if e.kind() == ErrorKind::NotConnected && !ready.readable => Handshake::Pending,
--- a/crates/quartzgate/src/outbound.rs
+++ b/crates/quartzgate/src/outbound.rs
@@ -52,7 +52,10 @@
 /// A call that waits for a connection.
 struct WaitingCall {
     call: Call,
+    /// Time until which the response may arrive.
     deadline_ms: u64,
+    /// Time until which the request may be sent.
+    send_by_ms: u64,
 }
 
 /// A call whose request has been handed to a connection.
@@ -131,12 +134,12 @@
         self.socket_limited_peers.pop_front()
     }
 
-    /// Removes the calls that are past their deadline, and returns their ids.
+    /// Removes the calls that may not be sent any more, and returns their ids.
     fn take_expired(&mut self, now_ms: u64) -> Vec<CallId> {
         let mut expired = Vec::new();
         for queue in self.queues.values_mut() {
             queue.retain(|waiting| {
-                let in_time = waiting.deadline_ms > now_ms;
+                let in_time = waiting.send_by_ms > now_ms;
                 if !in_time {
                     expired.push(waiting.call.id);
                     self.bytes -= waiting.bytes();
@@ -176,11 +179,13 @@
         self.outcomes.pop_front()
     }
 
-    /// Starts a call. The call's timeout counts from the time of the decision: after a process
-    /// stall in between, a call past its deadline is not sent at all.
+    /// Starts a call. The call's limits of time count from the time of the decision: a call that
+    /// can't be sent in time, because of a process stall in between or for lack of a connection, is
+    /// not sent at all.
     pub fn start(&mut self, connections: &mut ConnectionTable, call: Call, decided_ms: u64) {
         let deadline_ms = decided_ms + call.timeout_ms;
-        self.send_or_queue(connections, WaitingCall { call, deadline_ms });
+        let send_by_ms = decided_ms + call.send_within_ms;
+        self.send_or_queue(connections, WaitingCall { call, deadline_ms, send_by_ms });
     }
 
     /// Handles a ready socket: advances the handshake, transfers data and takes the response.
@@ -213,7 +218,7 @@
         }
     }
 
-    /// Ends the waiting calls that are past their deadline.
+    /// Ends the waiting calls that may not be sent any more.
     pub fn expire_waiting(&mut self, now_ms: u64) {
         for call in self.waiting.take_expired(now_ms) {
             self.finish(call, Outcome::NotSent);
@@ -221,9 +226,9 @@
     }
 
     /// Sends a call on a pooled or a new connection, or queues it until a connection is available.
-    /// A call that is past its deadline or exceeds the limits of the queue is not sent.
+    /// A call that may not be sent any more or exceeds the limits of the queue is not sent.
     fn send_or_queue(&mut self, connections: &mut ConnectionTable, waiting: WaitingCall) {
-        if self.clock.steady_ms() >= waiting.deadline_ms {
+        if self.clock.steady_ms() >= waiting.send_by_ms {
             return self.finish(waiting.call.id, Outcome::NotSent);
         }
         let peer = &waiting.call.peer;
@@ -248,13 +253,13 @@
     /// Registers a call as in flight and encodes its request. A copy of a `GET` request is kept,
     /// since a read may be sent twice.
     fn put_in_flight(&mut self, waiting: WaitingCall) -> OutboundRequest {
-        let WaitingCall { call, deadline_ms } = waiting;
+        let WaitingCall { call, deadline_ms, send_by_ms } = waiting;
         let host = self.addresses.of(&call.peer).to_string();
         let mut bytes = Vec::with_capacity(call.body.len() + HEAD_CAPACITY);
         http::write_request(&mut bytes, call.method, &call.target, &host, &call.body);
         let retry = (call.method == "GET").then(|| bytes.clone());
         self.in_flight.insert(call.id, InFlightCall { peer: call.peer, retry });
-        OutboundRequest { id: call.id, bytes, deadline_ms }
+        OutboundRequest { id: call.id, bytes, deadline_ms, send_by_ms }
     }
 
     /// Sends a request on an idle connection.
@@ -323,7 +328,12 @@
             return self.fail(connections, key, Outcome::Lost);
         };
         self.close(connections, key);
-        self.connect(connections, peer, OutboundRequest { id: call, bytes, deadline_ms });
+        let send_by_ms = deadline_ms;
+        self.connect(
+            connections,
+            peer,
+            OutboundRequest { id: call, bytes, deadline_ms, send_by_ms },
+        );
     }
 
     /// Takes the copy of the request for a retry, with its peer; `None` if no retry is allowed.
@@ -366,12 +376,12 @@
         }
     }
 
-    /// Starts the next call that waits for this peer, and ends those before it that are past
-    /// their deadline; returns false if no call was started.
+    /// Starts the next call that waits for this peer, and ends those before it that may not be
+    /// sent any more; returns false if no call was started.
     fn start_next_waiting_for(&mut self, connections: &mut ConnectionTable, peer: &Peer) -> bool {
         let now_ms = self.clock.steady_ms();
         while let Some(waiting) = self.waiting.pop(peer) {
-            if waiting.deadline_ms > now_ms {
+            if waiting.send_by_ms > now_ms {
                 self.send_or_queue(connections, waiting);
                 return true;
             }
--- a/crates/quartzgate/tests/unit/event_loop.rs
+++ b/crates/quartzgate/tests/unit/event_loop.rs
@@ -57,6 +57,7 @@
         target: "/orders".into(),
         body: Vec::new(),
         timeout_ms: 3_600_000,
+        send_within_ms: 3_600_000,
     }
 }
 
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -312,6 +312,29 @@
         }
     }
 
+    /// Returns the open jobs of which no task runs or has completed, by id.
+    pub fn waiting_jobs(&self) -> Vec<String> {
+        let has_started = |id: &str, job: &JobHistory| {
+            let prefix = format!("{id}/");
+            let live = self.live_tasks.range(prefix.clone()..).next();
+            !job.completed.is_empty() || live.is_some_and(|(task, _)| task.starts_with(&prefix))
+        };
+        let waiting = self.jobs.iter().filter(|(id, job)| job.is_open() && !has_started(id, job));
+        waiting.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Checks a start command that an agent received directly from a leader: none may leave a leader
+    /// once a user has learned that the job is cancelled.
+    pub fn on_start_received(&mut self, received_ms: u64, task: &str) {
+        let cancelled_ms = self.jobs.get(job_of(task)).and_then(|job| job.cancelled_ms);
+        if let Some(at_ms) = cancelled_ms.filter(|at_ms| received_ms > at_ms + RECORD_LAG_MS) {
+            let after_ms = received_ms - at_ms;
+            let description =
+                format!("start after cancellation: {task} is sent {after_ms} ms after it");
+            self.record_violation(received_ms, description);
+        }
+    }
+
     /// Records that a task no longer runs on a machine.
     pub fn on_task_removed(&mut self, machine: &str, task: &str) {
         if self.live_tasks.get(task).is_some_and(|live| live.machine == machine) {
--- a/crates/soak/src/machine.rs
+++ b/crates/soak/src/machine.rs
@@ -169,18 +169,18 @@
         }
     }
 
-    /// Executes orders on a machine.
-    pub fn execute(&mut self, name: &str, orders: Vec<Order>) {
+    /// Executes orders on a machine that its agent received at `received_ms`.
+    pub fn execute(&mut self, name: &str, orders: Vec<Order>, received_ms: u64) {
         for order in orders {
             match order {
-                Order::Start { task, attempt } => self.start_task(name, task, attempt),
+                Order::Start { task, attempt } => self.start_task(name, task, attempt, received_ms),
                 Order::Stop { task, attempt, .. } => self.stop_task(name, &task, attempt),
                 Order::Forget { task, attempt } => self.forget_task(name, &task, attempt),
             }
         }
     }
 
-    fn start_task(&mut self, name: &str, task: String, attempt: u64) {
+    fn start_task(&mut self, name: &str, task: String, attempt: u64, received_ms: u64) {
         let now_ms = self.now_ms();
         let job = self.history.jobs.get(job_of(&task));
         let Some((spec, is_completed)) =
@@ -210,6 +210,9 @@
         let start =
             AttemptStart { machine: name.to_string(), agent_epoch, task: task.clone(), attempt };
         self.history.on_attempt_started(now_ms, start);
+        if !self.may_be_held_on_its_way(received_ms) {
+            self.history.on_start_received(received_ms, &task);
+        }
         let Some(machine) = self.machines.get_mut(name) else { return };
         if is_completed {
             machine.tasks.insert(task, exited_task(attempt, spec.cpus, ExitCause::Done));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -292,6 +292,8 @@
                 undo_actions.push((fault.end_ms(), UndoAction::Resume(node)));
             }
             FaultKind::CancelBurst => users::cancel_burst(&self.world),
+            FaultKind::CancelWaiting => users::cancel_waiting(&self.world),
+            FaultKind::SubmitBurst => users::submit_burst(&self.world),
             _ => {
                 let mut world = self.world.borrow_mut();
                 let salt = world.rng.random();
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -9,6 +9,10 @@
 const FAULTS_PER_10_S: f64 = 2.2;
 /// Range of fault durations.
 const FAULT_DURATION_MS: std::ops::RangeInclusive<u64> = 1_500..=16_000;
+/// Range of the time for which a leader is isolated.
+const ISOLATION_DURATION_MS: std::ops::RangeInclusive<u64> = 4_000..=12_000;
+/// Time between a burst of submissions and the isolation of the leader, in which the jobs are placed.
+const BACKLOG_LEAD_MS: u64 = 800;
 /// Longest time for which a process is paused.
 const MAX_PAUSE_DURATION_MS: u64 = 7_000;
 /// Delays after which a killed controller is restarted: almost at once, or after seconds.
@@ -71,6 +75,10 @@
     CopiedOrders { share: f64 },
     /// Users cancel several open jobs at once.
     CancelBurst,
+    /// Users cancel jobs of which no task has started, one shortly after the other.
+    CancelWaiting,
+    /// Users submit more jobs at once than the team may run at the same time.
+    SubmitBurst,
 }
 
 impl FaultKind {
@@ -131,6 +139,7 @@
         (0..count).map(|_| draw_fault(rng, nodes, from_ms, until_ms)).collect();
     faults.extend(draw_leader_kills(rng, from_ms, until_ms));
     faults.push(draw_copied_orders(rng, from_ms, until_ms));
+    faults.extend(draw_leader_isolation(rng, from_ms, until_ms));
     faults.sort_by_key(|fault| fault.start_ms);
     faults
 }
@@ -192,6 +201,22 @@
     (0..length).map(kill).collect()
 }
 
+/// Draws the faults that every run has together: while jobs wait for capacity, the leader loses the
+/// state service and the other controllers, and users cancel jobs that wait.
+fn draw_leader_isolation(rng: &mut SmallRng, from_ms: u64, until_ms: u64) -> [Fault; 4] {
+    let duration_ms = rng.random_range(ISOLATION_DURATION_MS).min(until_ms - from_ms);
+    let start_ms = rng.random_range(from_ms..=until_ms - duration_ms);
+    let backlog_ms = start_ms.saturating_sub(BACKLOG_LEAD_MS).max(from_ms);
+    let target = Target::Leader;
+    let fault = |start_ms, duration_ms, kind| Fault { start_ms, duration_ms, kind };
+    [
+        fault(backlog_ms, 0, FaultKind::SubmitBurst),
+        fault(start_ms, duration_ms, FaultKind::CutStore { target, mode: CutMode::Hold }),
+        fault(start_ms, duration_ms, FaultKind::CutMesh { target, mode: CutMode::Refuse }),
+        fault(start_ms, duration_ms, FaultKind::CancelWaiting),
+    ]
+}
+
 /// Draws the fault that delivers orders a second time, which every run has.
 fn draw_copied_orders(rng: &mut SmallRng, from_ms: u64, until_ms: u64) -> Fault {
     let duration_ms = rng.random_range(FAULT_DURATION_MS).min(until_ms - from_ms);
--- a/crates/soak/src/users.rs
+++ b/crates/soak/src/users.rs
@@ -39,6 +39,12 @@
 const FOLLOW_UP_DELAY_MS: std::ops::RangeInclusive<u64> = 0..=15_000;
 /// Maximum number of jobs that a burst of cancellations cancels.
 const CANCEL_BURST_JOBS: usize = 8;
+/// Number of jobs in a burst of submissions: several times what the team may run at once.
+const SUBMIT_BURST_JOBS: usize = 60;
+/// Number of waiting jobs that are cancelled while the leader is isolated.
+const CANCEL_WAITING_JOBS: usize = 30;
+/// Pause between two of these cancellations.
+const CANCEL_WAITING_PAUSE: Duration = Duration::from_millis(50);
 /// Upper limit of a task's estimated run time, in seconds.
 const MAX_RUN_S: f64 = 12.0;
 /// Share of jobs that are services.
@@ -46,7 +52,6 @@
 
 /// Submits new jobs at random intervals until `until_ms`.
 pub async fn submit_jobs(world: SharedWorld, until_ms: u64) {
-    let mut number = 0;
     loop {
         let pause_ms = {
             let mut world = world.borrow_mut();
@@ -56,13 +61,27 @@
             world.rng.random_range(SUBMIT_PAUSE_MS)
         };
         sleep(Duration::from_millis(pause_ms)).await;
-        number += 1;
-        let spec = draw_job(&mut world.borrow_mut(), number);
-        world.borrow_mut().history.on_submitted(spec.clone());
-        tokio::task::spawn_local(submit_and_follow_up(world.clone(), spec));
+        submit_new_job(&world);
     }
 }
 
+/// Submits a new job.
+fn submit_new_job(world: &SharedWorld) {
+    let spec = {
+        let mut world = world.borrow_mut();
+        world.jobs_created += 1;
+        let number = world.jobs_created;
+        draw_job(&mut world, number)
+    };
+    world.borrow_mut().history.on_submitted(spec.clone());
+    tokio::task::spawn_local(submit_and_follow_up(world.clone(), spec));
+}
+
+/// Submits more jobs at once than the team may run at the same time.
+pub fn submit_burst(world: &SharedWorld) {
+    (0..SUBMIT_BURST_JOBS).for_each(|_| submit_new_job(world));
+}
+
 fn draw_job(world: &mut World, number: u32) -> JobSpec {
     let rng = &mut world.rng;
     let kind = match rng.random_bool(SERVICE_SHARE) {
@@ -268,3 +287,15 @@
         tokio::task::spawn_local(cancel(world.clone(), id));
     }
 }
+
+/// Cancels jobs of which no task has started, the oldest first, one shortly after the other.
+pub fn cancel_waiting(world: &SharedWorld) {
+    let ids = world.borrow().history.waiting_jobs();
+    for (n, id) in (0..).zip(ids.into_iter().take(CANCEL_WAITING_JOBS)) {
+        let world = world.clone();
+        tokio::task::spawn_local(async move {
+            sleep(CANCEL_WAITING_PAUSE * n).await;
+            cancel(world, id).await;
+        });
+    }
+}
--- a/crates/soak/src/workers.rs
+++ b/crates/soak/src/workers.rs
@@ -93,6 +93,7 @@
     {
         return None;
     }
+    let received_ms = world.borrow().now_ms();
     if request.target == "/orders"
         && world
             .borrow_mut()
@@ -101,7 +102,7 @@
         let delay_ms = world.borrow_mut().rng.random_range(FAULT_DELAY_MS);
         tokio::task::spawn_local(async move {
             sleep(Duration::from_millis(delay_ms)).await;
-            execute_orders_request(&world, &name, &request.body).await;
+            execute_orders_request(&world, &name, &request.body, received_ms).await;
         });
         return None;
     }
@@ -111,8 +112,8 @@
             heartbeat_response(&world, &name, 200)
         }
         "/orders" => {
-            let response = execute_orders_request(&world, &name, &request.body).await;
-            deliver_copy_late(&world, &name, request.body);
+            let response = execute_orders_request(&world, &name, &request.body, received_ms).await;
+            deliver_copy_late(&world, &name, request.body, received_ms);
             response
         }
         _ => Some(Response::new(404, Vec::new())),
@@ -120,7 +121,7 @@
 }
 
 /// If a fault affects these orders, delivers them to the agent a second time after a delay.
-fn deliver_copy_late(world: &SharedWorld, name: &str, body: Vec<u8>) {
+fn deliver_copy_late(world: &SharedWorld, name: &str, body: Vec<u8>, received_ms: u64) {
     let delay_ms = {
         let mut world = world.borrow_mut();
         if !world.fault_affects_message(|kind| matches!(kind, FaultKind::CopiedOrders { .. })) {
@@ -131,7 +132,7 @@
     let (world, name) = (world.clone(), name.to_string());
     tokio::task::spawn_local(async move {
         sleep(Duration::from_millis(delay_ms)).await;
-        execute_orders_request(&world, &name, &body).await;
+        execute_orders_request(&world, &name, &body, received_ms).await;
     });
 }
 
@@ -150,7 +151,12 @@
 /// Executes orders unless their fencing token is older than the highest one received or their
 /// agent epoch is not the current one. The answer is a heartbeat, with status 409 if the orders are
 /// rejected.
-async fn execute_orders_request(world: &SharedWorld, name: &str, body: &[u8]) -> Option<Response> {
+async fn execute_orders_request(
+    world: &SharedWorld,
+    name: &str,
+    body: &[u8],
+    received_ms: u64,
+) -> Option<Response> {
     wait_while_hung(world, name).await;
     let Ok(request) = from_cbor::<OrdersRequest>(body) else {
         return Some(Response::new(400, Vec::new()));
@@ -163,7 +169,7 @@
             && request.agent_epoch == machine.agent_epoch;
         if accepted {
             machine.observe_token(request.fencing_token);
-            world.execute(name, request.orders);
+            world.execute(name, request.orders, received_ms);
         }
         accepted
     };
@@ -297,7 +303,7 @@
             if let Some(answer) = valid_answer {
                 machine.observe_token(answer.fencing_token);
                 machine.lease_start_ms = sent.sent_ms;
-                world.execute(name, answer.orders);
+                world.execute(name, answer.orders, now_ms);
             }
             sent.sent_ms + interval_ms
         }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -32,6 +32,9 @@
     pub salt: u64,
 }
 
+/// Longest time for which commands still take other routes, or arrive late, after a fault.
+const MAX_DETOUR_MS: u64 = 16_000;
+
 /// Shared state of a run.
 pub struct World {
     started_at: Instant,
@@ -45,6 +48,8 @@
     pub machines_by_provision_id: BTreeMap<String, Vec<String>>,
     /// Number of machines created so far.
     pub machines_created: u32,
+    /// Number of jobs that users have created.
+    pub jobs_created: u32,
     /// IP address on which the stand-ins listen.
     pub ip: IpAddr,
     /// Address at which each controller serves users and workers.
@@ -70,6 +75,7 @@
             machines: BTreeMap::new(),
             machines_by_provision_id: BTreeMap::new(),
             machines_created: 0,
+            jobs_created: 0,
             ip,
             client_addresses,
             faults: Vec::new(),
@@ -115,6 +121,22 @@
         self.faults.iter().filter(move |fault| fault.until_ms > now_ms)
     }
 
+    /// Returns whether a command that arrives now may have been held up on its way through other
+    /// controllers: because of a recent fault, commands were relayed or mailed, or links between
+    /// controllers held messages.
+    pub fn may_be_held_on_its_way(&self, received_ms: u64) -> bool {
+        let holds_commands = |kind| {
+            matches!(
+                kind,
+                FaultKind::CutMesh { mode: CutMode::Hold, .. }
+                    | FaultKind::CutWorkers { .. }
+                    | FaultKind::DeafWorkers { .. }
+            )
+        };
+        let is_recent = |fault: &&ActiveFault| fault.until_ms + MAX_DETOUR_MS > received_ms;
+        self.faults.iter().filter(is_recent).any(|fault| holds_commands(fault.kind))
+    }
+
     /// Returns how a controller is cut off from the state service; `None` if it is not.
     pub fn store_cut(&self, node: usize) -> Option<CutMode> {
         self.active().find_map(|fault| match fault.kind {
--- a/crates/soak/tests/unit/checks.rs
+++ b/crates/soak/tests/unit/checks.rs
@@ -108,6 +108,18 @@
     assert_violated(&history, "ran_cancelled");
 }
 
+#[test]
+fn start_sent_after_a_cancellation_is_reported_without_allowance() {
+    let mut history = history_with_accepted_job();
+    history.on_start_received(150, TASK);
+    history.on_cancel_requested(JOB);
+    history.on_state_reported(JOB, 200, 210, ReportedState::Status(JobStatus::Aborted));
+    history.on_start_received(210 + RECORD_LAG_MS, TASK);
+    assert!(history.violations.is_empty());
+    history.on_start_received(211 + RECORD_LAG_MS, TASK);
+    assert_violated(&history, "start after cancellation");
+}
+
 #[test]
 fn task_that_outlives_cancellation_is_reported_once() {
     let mut history = history_with_accepted_job();
