Give up the zone of a job that has to run in one zone when no task fixes it

Cause: the zone was chosen once and never given up, so that probes were sought where no machine is; and what asks for machines counted room in any zone, so that none was provisioned there.

Change: the zone is fixed while a task of the job is, or may be, on a machine; else it is given up for one with spare capacity. Waiting tasks outside it get new probes. A task starts only if no other task of its job is, or may be, in another zone, since chunks and a failover may show two zones for a moment. Provisioning counts room in the zone in which the tasks have to run.

Failing before (sources of the commit before): zone_rules::job_bound_to_one_zone_moves_when_its_zone_loses_its_machines the job runs in the other zone: not within 60000 ms zone_rules::machines_are_provisioned_in_the_zone_that_a_running_task_fixes both tasks run: not within 60000 ms

--- a/crates/core/src/fleet/provisioning/demand.rs
+++ b/crates/core/src/fleet/provisioning/demand.rs
@@ -46,8 +46,13 @@
                 continue;
             }
             let wanted = self.wanted_tasks(job, &mut claimed_cpus[job.team]);
+            if job.spec.together {
+                unmet.extend(self.unmet_in_one_zone(job, wanted, &mut pool));
+                continue;
+            }
             if job.spec.spread {
-                unmet.extend(self.unmet_spread(job, wanted, &mut pool));
+                let bound = bound_tasks_by_zone(job, self.zone_count());
+                unmet.extend(self.unmet_spread(job, wanted, bound, &mut pool));
                 continue;
             }
             let eligible = |group: &MachineGroup| self.is_eligible(&job.spec, group);
@@ -130,13 +135,59 @@
         (cpus_left / job.spec.cpus.max(MIN_TASK_CPUS)).max(0.0) as u32
     }
 
-    /// Returns the unmet demand of a job that is spread over zones. No zone gets more than half of
-    /// the job's tasks, rounded up.
-    fn unmet_spread(&self, job: &Job, wanted: u32, pool: &mut CapacityPool) -> Vec<UnmetDemand> {
+    fn zone_count(&self) -> usize {
+        self.context.config.platform.params.zones.len()
+    }
+
+    /// Returns the unmet demand of a job whose tasks all have to run in the same zone: the one that
+    /// its tasks fix, else its present one if that has capacity, else the one with the most. If no
+    /// zone has any, machines of any one zone will do.
+    fn unmet_in_one_zone(
+        &self,
+        job: &Job,
+        wanted: u32,
+        pool: &mut CapacityPool,
+    ) -> Option<UnmetDemand> {
+        let need = job.resources();
+        let fixed = self.fixed_zone(job);
+        let choice = fixed.or_else(|| {
+            let allowed = self.allowed_zones(&job.spec);
+            let fitting = |zone: &u16| {
+                pool.count_fitting(&need, |group| self.is_eligible_in(&job.spec, group, *zone))
+            };
+            let best = allowed.into_iter().max_by_key(fitting).filter(|zone| fitting(zone) > 0);
+            job.zone.filter(|zone| fitting(zone) > 0).or(best)
+        });
+        let Some(zone) = choice else {
+            return (wanted > 0).then(|| UnmetDemand { spec: job.spec.clone(), tasks: wanted });
+        };
+        let tasks = pool.place(&need, wanted, |group| self.is_eligible_in(&job.spec, group, zone));
+        let name = &self.context.config.platform.params.zones[zone as usize];
+        (tasks > 0).then(|| UnmetDemand { spec: in_zone(&job.spec, name), tasks })
+    }
+
+    /// Returns the zones in which a job may run.
+    fn allowed_zones(&self, spec: &JobSpec) -> Vec<u16> {
+        let zones = self.context.config.platform.params.zones.iter().enumerate();
+        zones.filter(|(_, name)| allows_zone(spec, name)).map(|(zone, _)| zone as u16).collect()
+    }
+
+    fn is_eligible_in(&self, spec: &JobSpec, group: &MachineGroup, zone: u16) -> bool {
+        group.zone == Some(zone) && self.is_eligible(spec, group)
+    }
+
+    /// Returns the unmet demand of a job that is spread over zones, given the number of its tasks
+    /// that are in each zone already. No zone gets more than half of the job's tasks, rounded up.
+    fn unmet_spread(
+        &self,
+        job: &Job,
+        wanted: u32,
+        mut tasks_in_zone: Vec<u32>,
+        pool: &mut CapacityPool,
+    ) -> Vec<UnmetDemand> {
         let zones = &self.context.config.platform.params.zones;
         let need = job.resources();
         let max_per_zone = job.spec.tasks.div_ceil(2);
-        let mut tasks_in_zone = bound_tasks_by_zone(job, zones.len());
         let mut unmet_in_zone = vec![0u32; zones.len()];
         for _ in 0..wanted {
             if let Some(group) = self.least_used_zone_group(job, &tasks_in_zone, pool) {
@@ -178,14 +229,19 @@
         pool.groups().filter(has_capacity).min_by_key(tasks_in_zone_of).cloned()
     }
 
-    /// Returns the unmet demand of a gang: the tasks without capacity if all tasks start together,
-    /// in a single zone if the job requires that. A gang with a bound task has no demand.
-    fn unmet_gang(&self, job: &Job, pool: &mut CapacityPool) -> Option<UnmetDemand> {
+    /// Returns the unmet demand of a gang: the tasks without capacity if all tasks start together, in
+    /// a single zone or spread over the zones if the job requires that. A gang with a bound task has
+    /// no demand.
+    fn unmet_gang(&self, job: &Job, pool: &mut CapacityPool) -> Vec<UnmetDemand> {
         if job.confirmed_tasks > 0
             || job.tasks().any(|(_, task)| task.state.machine_and_attempt().is_some())
         {
-            return None;
+            return Vec::new();
         }
+        self.unmet_plain_gang(job, pool).into_iter().collect()
+    }
+
+    fn unmet_plain_gang(&self, job: &Job, pool: &mut CapacityPool) -> Option<UnmetDemand> {
         let need = job.resources();
         let zones = &self.context.config.platform.params.zones;
         let choices: Vec<ZoneChoice> = match job.spec.together {
--- a/crates/core/src/placement/dispatch.rs
+++ b/crates/core/src/placement/dispatch.rs
@@ -157,6 +157,7 @@
             })
             && self.machines.get(machine_index).is_some_and(|machine| {
                 (task.zone.is_none() || task.zone == machine.zone)
+                    && self.may_start_in_zone(job, key, machine.zone)
                     && self.allows(&job.spec, &machine.kind, machine.zone, machine.spot)
             })
     }
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -12,6 +12,7 @@
 mod drain;
 mod free_capacity;
 pub(crate) mod gangs;
+mod job_zone;
 pub(crate) mod placer;
 mod preemption;
 mod probes;
--- a/crates/core/src/placement/placer.rs
+++ b/crates/core/src/placement/placer.rs
@@ -240,15 +240,6 @@
         placed > 0 || self.postpone_placement(job_index)
     }
 
-    /// Chooses the zone of a job whose tasks have to run in the same zone, unless it already has
-    /// one.
-    fn choose_job_zone(&mut self, job_index: JobIndex, candidates: &Candidates) {
-        let Some(job) = self.jobs.get_mut(job_index) else { return };
-        if job.zone.is_none() {
-            job.zone = candidates.zone_with_most_spare();
-        }
-    }
-
     /// Returns the next task of a job that is not in a done chunk, and opens its chunk if needed.
     /// Returns `None` if no task is left or if no further chunk may be opened.
     fn next_task_to_place(&mut self, job_index: JobIndex) -> Option<u32> {
--- a/crates/core/src/placement/reprobe.rs
+++ b/crates/core/src/placement/reprobe.rs
@@ -80,13 +80,24 @@
                 if candidates.is_none() && !self.search_budget.is_available(now_ms) {
                     return false;
                 }
-                let candidates = candidates.get_or_insert_with(|| self.candidates_for(job_index));
+                if candidates.is_none() {
+                    let found = self.candidates_for(job_index);
+                    self.choose_zone_if_bound_to_one(job_index, &found);
+                    candidates = Some(found);
+                }
+                let Some(candidates) = &mut candidates else { continue };
                 reprobed += u32::from(self.reprobe_task(key, candidates));
             }
         }
         true
     }
 
+    fn choose_zone_if_bound_to_one(&mut self, job_index: JobIndex, candidates: &Candidates) {
+        if self.jobs.get(job_index).is_some_and(|job| job.spec.together) {
+            self.choose_job_zone(job_index, candidates);
+        }
+    }
+
     /// Returns the waiting tasks of a job that are not backing off, limited to the number for which
     /// the job asks for machines ([`Job::demanded_tasks`]).
     fn tasks_to_reprobe(&self, job_index: JobIndex) -> Option<Vec<TaskKey>> {
@@ -107,6 +118,9 @@
         self.enqueue(key);
         let Some(job) = self.jobs.get(key.job) else { return true };
         let Some(task) = job.task(key.task) else { return true };
+        if is_outside_job_zone(job, task) {
+            return false;
+        }
         let need = job.resources();
         let (mut may_become_free, mut is_free) = (false, false);
         for probe in &task.probes {
@@ -127,7 +141,7 @@
         let Some(job) = self.jobs.get(key.job) else { return false };
         let Some(task) = job.task(key.task) else { return false };
         let (spec, job_zone, avoid) = (job.spec.clone(), job.zone, job.failed_on.clone());
-        let has_viable_probe = self.has_viable_probe(job, task);
+        let has_viable_probe = !is_outside_job_zone(job, task) && self.has_viable_probe(job, task);
         if has_viable_probe && !candidates.has_spare(None) {
             return false;
         }
@@ -175,3 +189,9 @@
         })
     }
 }
+
+/// Returns whether a task is placed in another zone than the one in which all tasks of its job have
+/// to run now.
+fn is_outside_job_zone(job: &Job, task: &Task) -> bool {
+    job.spec.together && job.zone.is_some() && task.zone != job.zone
+}
--- a/crates/core/tests/simulation/main.rs
+++ b/crates/core/tests/simulation/main.rs
@@ -32,3 +32,4 @@
 mod rolling_upgrades;
 mod state_service_faults;
 mod unanswered_queries;
+mod zone_rules;
