Count the demand of a gang with `spread` by zone

Cause: the same as of the job bound to a lost zone: what asks for machines looked at no zone, while what places does. Change: the demand of such a gang is counted like that of any spread job, with none of its tasks placed.

--- a/crates/core/src/fleet/provisioning/demand.rs
+++ b/crates/core/src/fleet/provisioning/demand.rs
@@ -238,6 +238,10 @@
         {
             return Vec::new();
         }
+        if job.spec.spread {
+            let none_placed = vec![0; self.zone_count()];
+            return self.unmet_spread(job, job.spec.tasks, none_placed, pool);
+        }
         self.unmet_plain_gang(job, pool).into_iter().collect()
     }
 
--- a/crates/core/tests/simulation/zone_rules.rs
+++ b/crates/core/tests/simulation/zone_rules.rs
@@ -86,3 +86,19 @@
         cluster.assert_recovered();
     }
 }
+
+/// Guards against a gang with `spread` that never begins when one zone has no machine and the other
+/// has room for all its tasks.
+#[test]
+fn spread_gang_begins_when_one_zone_has_no_machine() {
+    for seed in 63_200..63_208 {
+        let mut cluster = Cluster::activated(4, 0.0, seed, 1_000);
+        cluster.scale_out_disabled = false;
+        kill_zone(&mut cluster, "b");
+        let mut gang = job(&job_id(9), JobKind::Gang, 2);
+        (gang.cpus, gang.spread) = (2.0, true);
+        cluster.submit_until_accepted(&gang);
+        cluster.run_until_done(&job_id(9), 60_000);
+        cluster.assert_no_violations();
+    }
+}
