Place at most half of an array's tasks at a time if it has both zone rules

What callers saw: an array with both `together` and `spread` started more than half of its tasks in one zone (`wrong_place`), without any disruption (review, found as well).

Cause: placement looked at `together` first and then at no limit. Gangs and services with both rules are refused. Change: the zone of such an array takes a task only while it holds fewer than half of them, rounded up; the others follow as tasks complete. Its demand for machines is bounded alike.

--- a/crates/core/src/fleet/provisioning/demand.rs
+++ b/crates/core/src/fleet/provisioning/demand.rs
@@ -149,6 +149,10 @@
         pool: &mut CapacityPool,
     ) -> Option<UnmetDemand> {
         let need = job.resources();
+        let wanted = match job.spec.spread {
+            true => wanted.min(job.spec.tasks.div_ceil(2).saturating_sub(job.bound_tasks)),
+            false => wanted,
+        };
         let fixed = self.fixed_zone(job);
         let choice = fixed.or_else(|| {
             let allowed = self.allowed_zones(&job.spec);
--- a/crates/core/src/placement/placer.rs
+++ b/crates/core/src/placement/placer.rs
@@ -305,13 +305,16 @@
     /// no zone can take the task now.
     pub(super) fn zone_for(&self, key: TaskKey, candidates: &Candidates) -> Option<Option<u16>> {
         let job = self.jobs.get(key.job)?;
+        let max_per_zone = job.spec.tasks.div_ceil(2);
         if job.spec.together {
-            return job.zone.map(Some);
+            let is_open = |zone: &u16| {
+                !job.spec.spread || self.zone_counts(key)[*zone as usize] < max_per_zone
+            };
+            return job.zone.filter(is_open).map(Some);
         }
         if !job.spec.spread {
             return Some(None);
         }
-        let max_per_zone = job.spec.tasks.div_ceil(2);
         candidates.spread_zone(&self.zone_counts(key), max_per_zone).map(Some)
     }
 
--- a/crates/core/tests/simulation/zone_rules.rs
+++ b/crates/core/tests/simulation/zone_rules.rs
@@ -102,3 +102,58 @@
         cluster.assert_no_violations();
     }
 }
+
+/// Guards against an array that is accepted with both `together` and `spread` and starts in the
+/// wrong place: at most half of its tasks may be in one zone, and all of them in the same.
+#[test]
+fn array_with_both_zone_rules_runs_half_of_its_tasks_at_a_time() {
+    for seed in 63_300..63_308 {
+        let mut cluster = Cluster::activated(4, 0.0, seed, 1_000);
+        cluster.scale_out_disabled = seed % 2 == 0;
+        let mut spec = job(&job_id(9), JobKind::Array, 5);
+        (spec.cpus, spec.together, spec.spread) = (1.0, true, true);
+        cluster.submit_until_accepted(&spec);
+        cluster.run_until_done(&job_id(9), 90_000);
+        cluster.assert_no_violations();
+    }
+}
+
+/// Guards against jobs with zone rules that run in a wrong place or are left waiting while machines
+/// of either zone are lost and return, and the leader changes.
+#[test]
+fn zone_rules_hold_while_zones_lose_machines_and_leaders_change() {
+    for case in 0..24u64 {
+        let mut cluster = Cluster::activated(6, 0.0, 63_400 + case, 1_000);
+        cluster.scale_out_disabled = case % 3 == 0;
+        (cluster.boot_ms, cluster.list_lag_ms) = (0..=2_000, 2_000);
+        for n in 0..6u32 {
+            let kind = [JobKind::Array, JobKind::Service, JobKind::Gang][n as usize % 3];
+            let mut spec = job(&job_id(n), kind, 2 + n % 3);
+            spec.cpus = 1.0;
+            (spec.together, spec.spread) = (n % 2 == 0, n % 2 == 1 || n == 0);
+            cluster.task_duration_ms.insert(job_id(n), 6_000 + u64::from(n) * 2_000);
+            cluster.submit_until_accepted(&spec);
+        }
+        for round in 0..3u64 {
+            cluster.run_for_ms(1_000 + case * 97 % 900);
+            let zone = ["a", "b"][(case + round) as usize % 2];
+            let names: Vec<String> = cluster
+                .workers
+                .iter()
+                .filter(|(_, worker)| worker.zone == zone && !worker.dead)
+                .map(|(name, _)| name.clone())
+                .collect();
+            for (index, name) in names.iter().enumerate() {
+                cluster.reboot_machine(name, 3_000 + case * 311 % 9_000 + index as u64 * 200);
+            }
+            if (case + round) % 3 == 0 {
+                let leader = cluster.leader().unwrap_or(0);
+                cluster.crash_for_ms(leader, [200, 3_000][round as usize % 2]);
+            }
+            cluster.run_for_ms(WORKER_LEASE_MS / 2);
+        }
+        cluster.run_for_ms(WORKER_LEASE_MS);
+        cluster.clear_all_faults();
+        cluster.assert_recovered();
+    }
+}
