--- a/crates/quartzgate/tests/unit/outbound.rs
+++ b/crates/quartzgate/tests/unit/outbound.rs
@@ -58,3 +58,16 @@
     assert_eq!(calls.pop(&worker(1)).map(|w| w.call.id), Some(2));
     assert_eq!((calls.calls, calls.bytes), (0, 0));
 }
+
+/// A call that starts tasks must not leave once its leader may no longer start any: it must end
+/// unsent at its limit for sending, long before the deadline for its response.
+#[test]
+fn waiting_call_ends_at_its_send_limit() {
+    let mut calls = WaitingCalls::new(LIMITS);
+    let call = waiting(1, worker(1), 10, 1_000);
+    calls.push(WaitingCall { send_by_ms: 20, ..call });
+    calls.push(waiting(2, worker(1), 10, 1_000));
+    assert_eq!(calls.take_expired(19), Vec::<CallId>::new());
+    assert_eq!(calls.take_expired(20), vec![1]);
+    assert_eq!(calls.pop(&worker(1)).map(|w| w.call.id), Some(2));
+}
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -3,6 +3,7 @@
 //!
 //! Times are in milliseconds since the run began. Each violation is recorded with its time.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use quartzgate_wire::msg::{JobSpec, JobStatus};
@@ -312,15 +313,20 @@
         }
     }
 
-    /// Returns the open jobs of which no task runs or has completed, by id.
+    /// Returns the open jobs of which no task runs or has completed, in the order in which they are
+    /// placed: by priority, then by age.
     pub fn waiting_jobs(&self) -> Vec<String> {
         let has_started = |id: &str, job: &JobHistory| {
             let prefix = format!("{id}/");
             let live = self.live_tasks.range(prefix.clone()..).next();
             !job.completed.is_empty() || live.is_some_and(|(task, _)| task.starts_with(&prefix))
         };
-        let waiting = self.jobs.iter().filter(|(id, job)| job.is_open() && !has_started(id, job));
-        waiting.map(|(id, _)| id.clone()).collect()
+        let is_waiting =
+            |(id, job): &(&String, &JobHistory)| job.is_open() && !has_started(id, job);
+        let mut waiting: Vec<(&String, &JobHistory)> =
+            self.jobs.iter().filter(is_waiting).collect();
+        waiting.sort_by_key(|(id, job)| (Reverse(job.spec.priority), *id));
+        waiting.into_iter().map(|(id, _)| id.clone()).collect()
     }
 
     /// Checks a start command that an agent received directly from a leader: none may leave a leader
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -12,7 +12,7 @@
 /// Range of the time for which a leader is isolated.
 const ISOLATION_DURATION_MS: std::ops::RangeInclusive<u64> = 4_000..=12_000;
 /// Time between a burst of submissions and the isolation of the leader, in which the jobs are placed.
-const BACKLOG_LEAD_MS: u64 = 800;
+const BACKLOG_LEAD_MS: u64 = 2_500;
 /// Longest time for which a process is paused.
 const MAX_PAUSE_DURATION_MS: u64 = 7_000;
 /// Delays after which a killed controller is restarted: almost at once, or after seconds.
