--- a/review/cases-2/src/cases.rs
+++ b/review/cases-2/src/cases.rs
@@ -20,7 +20,7 @@
         "backlog" => backlog(world(Site::matbaa()), trouble),
         "limit" => limit(world(limit_site()), trouble),
         "history" => history(world(Site::beanpost()), trouble),
-        "memory" => memory(world(Site::matbaa()), trouble),
+        "memory" => memory(world(Site::dundee_whole()), trouble),
         "report" => report(world(Site::dundee()), trouble),
         _ => {
             eprintln!("no such case: {case}");
@@ -257,66 +257,114 @@
 }
 
 /// Number of jobs that each later job waits for.
-const PREREQS: usize = 400;
-/// Number of jobs that wait for them.
-const DEPENDENTS: usize = 700;
+const PREREQS: usize = 850;
+/// Largest number of jobs that wait for them.
+const DEPENDENTS: usize = 1_200;
 /// Number of users' connections.
-const USERS: usize = 40;
+const USERS: usize = 60;
+/// How long users go on after the first controller has ended.
+const LAST_SUBMISSIONS_S: f64 = 3.0;
+/// Bound of the pages: a job about which no question is answered for this long counts as forgotten.
+const FORGOTTEN_S: f64 = 75.0;
 
 /// Jobs that wait for many others.
 fn memory(world: Shared, trouble: bool) -> ! {
-    world.add_machine("petit-poste", "casa-zone", false, 0.0);
+    world.add_machine("copper-pot", "tay-zone", false, 0.0);
     world.start_controllers();
-    run_service(&world, "wk-000009", ("order-desk", "atelier-team"), 8.0, "casa-zone");
+    run_service(&world, "wk-000009", ("bar-shop", "cacao-crew"), 32.0, "tay-zone");
     let ends = Arc::new(Mutex::new(Vec::new()));
     world.enforce_memory(ends.clone());
     let name = |n: usize| format!("wk-{:06}", 1000 + n);
     let first: Vec<JobSpec> = (0..PREREQS)
         .map(|n| JobSpec {
             priority: Priority::High,
-            ..array(&name(n), "font-embed", "atelier-team", 2, 4.0, 13.0)
+            ..array(&name(n), "tempering-plan", "cacao-crew", 2, 1.0, 1.7)
         })
         .collect();
     let prereqs = if trouble { PREREQS } else { 1 };
     let later: Vec<JobSpec> = (PREREQS..PREREQS + DEPENDENTS)
         .map(|n| JobSpec {
             dependencies: (0..prereqs).map(name).collect(),
-            ..array(&name(n), "page-impose", "atelier-team", 2, 4.0, 13.0)
+            ..array(&name(n), "wrapper-print", "cacao-crew", 2, 1.0, 1.1)
         })
         .collect();
-    submit_all(&world, first, 40.0);
+    let limit_s = 36.0;
+    let goes_on = {
+        let (world, ends) = (world.clone(), ends.clone());
+        move || {
+            let first_end = ends.lock().expect("no thread panics").first().copied();
+            world.now_s() < first_end.map_or(limit_s, |end| end + LAST_SUBMISSIONS_S)
+        }
+    };
+    let sent = submit_all(&world, first, goes_on.clone());
+    if sent.len() < PREREQS {
+        could_not_run(&world, "the first jobs were not accepted in time");
+    }
     world.note(&format!("{PREREQS} jobs are accepted; memory {:.1?} MB", world.memory_mb()));
-    submit_all(&world, later, 50.0);
+    let accepted = submit_all(&world, later, goes_on);
+    let Some(judged) = accepted.first() else { could_not_run(&world, "no later job is accepted") };
     let submitted_s = world.now_s();
-    world.note(&format!("no more submissions; memory {:.1?} MB", world.memory_mb()));
-    while world.now_s() < 110.0 {
-        std::thread::sleep(Duration::from_secs(2));
+    world.note(&format!(
+        "no more submissions, {} later jobs are accepted; memory {:.1?} MB",
+        accepted.len(),
+        world.memory_mb()
+    ));
+    let nodes = world.site.nodes.len();
+    let (mut answered_s, mut others_answered) = (submitted_s, 0);
+    while world.now_s() < submitted_s + FORGOTTEN_S + 1.0 && world.now_s() < 116.0 {
+        for node in 0..nodes {
+            let (status, _) = world.poll(node, judged);
+            if matches!(status, 200 | 404) {
+                answered_s = world.now_s();
+            }
+            let (status, _) = world.poll(node, &name(0));
+            others_answered += u32::from(status == 200);
+        }
         world.note(&format!("memory {:.1?} MB", world.memory_mb()));
-    }
-    for node in 0..world.site.nodes.len() {
-        world.poll(node, &name(0));
+        if answered_s > submitted_s + 20.0 {
+            break;
+        }
+        std::thread::sleep(Duration::from_secs(5));
     }
     let ends = ends.lock().expect("no thread panics").clone();
     let later_ends = ends.iter().filter(|at| **at > submitted_s).count();
+    let unanswered_s = world.now_s() - answered_s;
     world.note(&format!(
-        "{} controllers ended for memory, {later_ends} of them after the last submission",
+        "{} controllers ended for memory, {later_ends} of them after the last submission; no question \
+         about {judged} was answered for the last {unanswered_s:.1} s, {others_answered} about another \
+         job were",
         ends.len()
     ));
-    world.finish(if later_ends >= 3 { 1 } else { 0 })
+    world.finish(if unanswered_s >= FORGOTTEN_S { 1 } else { 0 })
 }
 
-/// Submits jobs over several connections, until all are accepted or the run has lasted `until_s`.
-fn submit_all(world: &Shared, jobs: Vec<JobSpec>, until_s: f64) {
+/// Submits jobs over several connections, for as long as `goes_on` holds. Returns the names of the
+/// accepted ones.
+fn submit_all(
+    world: &Shared,
+    mut jobs: Vec<JobSpec>,
+    goes_on: impl Fn() -> bool + Clone + Send + 'static,
+) -> Vec<String> {
+    jobs.reverse();
     let jobs = Arc::new(Mutex::new(jobs));
+    let accepted = Arc::new(Mutex::new(Vec::new()));
     let users: Vec<_> = (0..USERS)
         .map(|_| {
-            let (world, jobs) = (world.clone(), jobs.clone());
+            let (world, jobs, accepted) = (world.clone(), jobs.clone(), accepted.clone());
+            let goes_on = goes_on.clone();
             std::thread::spawn(move || loop {
                 let next = jobs.lock().expect("no thread panics").pop();
-                let Some(job) = next.filter(|_| world.now_s() < until_s) else { return };
-                while world.now_s() < until_s && !world.try_submit(&job, 20.0, 1) {}
+                let Some(job) = next.filter(|_| goes_on()) else { return };
+                while goes_on() {
+                    if world.try_submit(&job, 20.0, 1) {
+                        accepted.lock().expect("no thread panics").push(job.id.clone());
+                        break;
+                    }
+                }
             })
         })
         .collect();
     users.into_iter().for_each(|user| user.join().expect("no thread panics"));
+    let accepted = accepted.lock().expect("no thread panics").clone();
+    accepted
 }
--- a/review/cases-2/src/site.rs
+++ b/review/cases-2/src/site.rs
@@ -24,6 +24,8 @@
     pub cpu_share: f64,
     pub mem_mb: f64,
     pub max_sockets: u64,
+    /// How long a controller is away after an end.
+    pub restart_s: f64,
     pub types: Vec<MachineType>,
 }
 
@@ -76,6 +78,7 @@
             cpu_share: 0.12,
             mem_mb: 72.0,
             max_sockets: 1500,
+            restart_s: 3.0,
             types: vec![
                 machine_type("wee-box", (8.0, 32.0), (0.4, 0.11), 25.0, 0.8, &zones),
                 machine_type("big-drum", (32.0, 128.0), (1.66, 0.45), 25.0, 0.5, &zones),
@@ -105,6 +108,7 @@
             cpu_share: 0.096,
             mem_mb: 40.0,
             max_sockets: 700,
+            restart_s: 3.0,
             types: vec![
                 machine_type("petit-poste", (8.0, 32.0), (0.44, 0.19), 50.0, 0.4, &zones),
                 machine_type("grand-poste", (16.0, 64.0), (0.94, 0.37), 25.0, 0.6, &zones),
@@ -134,6 +138,7 @@
             cpu_share: 0.32,
             mem_mb: 136.0,
             max_sockets: 1500,
+            restart_s: 6.0,
             types: vec![
                 machine_type("copper-pot", (32.0, 128.0), (2.45, 0.63), 50.0, 1.0, &zones),
                 machine_type("conche-rack", (64.0, 128.0), (4.07, 1.08), 25.0, 1.0, &zones),
@@ -141,6 +146,12 @@
         }
     }
 
+    /// The chocolate firm with all its controllers.
+    pub fn dundee_whole() -> Site {
+        let (tay, fife) = ("tay-zone", "fife-zone");
+        Site { nodes: vec![tay, fife, tay, fife, tay, fife, tay], ..Site::dundee() }
+    }
+
     /// The part `facts` of the settings.
     pub fn facts(&self) -> Value {
         json!({
--- a/review/cases-2/src/world.rs
+++ b/review/cases-2/src/world.rs
@@ -891,7 +891,7 @@
     }
 
     /// Acts as the platform for the rest of the run: kills a controller that holds more than its
-    /// memory, and starts it again 3 s later. Notes each such end with its time in `ends`.
+    /// memory, and starts it again as long after as the pages say. Notes each such end with its time in `ends`.
     pub fn enforce_memory(self: &Arc<Self>, ends: Arc<Mutex<Vec<f64>>>) {
         let world = self.clone();
         std::thread::spawn(move || loop {
@@ -908,7 +908,7 @@
                 ends.lock().expect("no thread panics").push(world.now_s());
                 let world = world.clone();
                 std::thread::spawn(move || {
-                    std::thread::sleep(Duration::from_secs(3));
+                    std::thread::sleep(Duration::from_secs_f64(world.site.restart_s));
                     world.start_controller(node);
                 });
             }
