--- a/crates/quartzgate/tests/golden/sockets.rs
+++ b/crates/quartzgate/tests/golden/sockets.rs
@@ -2,9 +2,11 @@
 //! of its requests, and the names of its metrics.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fs::File;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -12,13 +14,22 @@
 
 use crate::expected::{assert_golden, every_setting, file};
 
-/// The running program, which is killed when the test ends, also if the test fails.
-struct Program(Child);
+/// The running program, which is killed when the test ends. If the test fails, what the program
+/// has printed is shown, and whether it has ended by itself.
+struct Program {
+    process: Child,
+    log: PathBuf,
+}
 
 impl Drop for Program {
     fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let ended_by_itself = self.process.try_wait();
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        if std::thread::panicking() {
+            let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+            eprintln!("the program's exit: {ended_by_itself:?}; its standard error:\n{log}");
+        }
     }
 }
 
@@ -51,9 +62,19 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("an address is free");
-    listener.local_addr().expect("it has one")
+/// Ports that the system gives to no socket by itself. A port that it has given to a listener which
+/// is closed again may be taken, until the program listens, by another listener or by the local end
+/// of a connection: the program then ends after it has accepted connections on its other address.
+const PROGRAM_PORTS: std::ops::Range<u16> = 20_000..20_100;
+
+/// Returns two addresses for the program, on a loopback address that no other process uses.
+fn program_addresses() -> (SocketAddr, SocketAddr) {
+    let id = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 200 + id[1] % 50, id[2], id[3].max(1));
+    let is_free = |port: &u16| TcpListener::bind((ip, *port)).is_ok();
+    let mut free = PROGRAM_PORTS.filter(is_free).map(|port| SocketAddr::from((ip, port)));
+    let mut next = || free.next().expect("an address is free");
+    (next(), next())
 }
 
 /// Bytes of a request that a failure shows.
@@ -127,7 +148,7 @@
 #[test]
 fn responses_requests_and_metrics_match_the_golden_files() {
     let (to_store, to_cloud) = (Heads::default(), Heads::default());
-    let (clients, mesh) = (free_address(), free_address());
+    let (clients, mesh) = program_addresses();
     let mut settings = every_setting();
     settings["client_listen"] = clients.to_string().into();
     settings["mesh_addr"] = mesh.to_string().into();
@@ -136,8 +157,11 @@
     settings["outside"]["cloud"] = refusing_service(to_cloud.clone()).to_string().into();
     let json = file("sockets", "settings.json", &settings.to_string());
     let mut command = Command::new(env!("CARGO_BIN_EXE_quartzgate"));
-    command.env("LOG_LEVEL", "error").arg("--config").arg(json).stderr(Stdio::null());
-    let _program = Program(command.spawn().expect("the program can be started"));
+    let log = file("sockets", "stderr.log", "");
+    let stderr = File::create(&log).expect("the log can be written");
+    command.env("LOG_LEVEL", "info").arg("--config").arg(json).stderr(stderr);
+    let process = command.spawn().expect("the program can be started");
+    let _program = Program { process, log };
 
     let large = format!("A: {}", "a".repeat(9_000));
     let requests = [
