--- a/crates/core/src/fleet/reconciliation.rs
+++ b/crates/core/src/fleet/reconciliation.rs
@@ -1,10 +1,9 @@
 //! Reconciliation of the leader's task states with a machine's newest heartbeat.
 //!
 //! A task that the heartbeat lists as alive runs on the machine. A task that the heartbeat doesn't
-//! list no longer runs there. If the leader has ordered the task's start but no heartbeat has
-//! confirmed it, this holds only once the start order can't arrive any more: no command is in
-//! flight and the machine has acknowledged its newest fencing token, or a new agent epoch has
-//! begun. The exit cause of an exited task determines how its state changes.
+//! list no longer runs there, and it counts as gone once its start order, or a copy of it, can't
+//! take effect any more: no command is in flight and the machine has acknowledged its newest fencing
+//! token, or a new agent epoch has begun. The exit cause of an exited task determines how its state changes.
 
 use quartzgate_wire::msg::{ExitCause, HeartbeatTask, JobKind, TaskStatus};
 
@@ -28,10 +27,14 @@
         }
         let new_agent_epoch = std::mem::take(&mut machine.new_agent_epoch);
         let epoch_acknowledged = machine.acknowledged_token >= first_token;
-        let token_acknowledged = machine.has_acknowledged_fence();
-        let no_start_in_flight = token_acknowledged && !machine.command_in_flight;
         let reported = machine.reported_tasks.clone();
         let alive = self.apply_reported_tasks(index, &reported);
+        if !new_agent_epoch {
+            self.fence_lost_attempts(index, &alive);
+        }
+        let Some(machine) = self.machines.get(index) else { return };
+        let token_acknowledged = machine.has_acknowledged_fence();
+        let no_start_in_flight = token_acknowledged && !machine.command_in_flight;
         self.requeue_missing_tasks(index, &alive, no_start_in_flight || new_agent_epoch);
         if epoch_acknowledged {
             self.resolve_unproven_tasks(index, &alive);
@@ -70,27 +73,51 @@
         alive
     }
 
-    /// Requeues the tasks bound to the machine that its heartbeat doesn't list. A task in state
-    /// `Starting` is requeued only if `starts_resolved`, because its start order may otherwise
-    /// still arrive.
+    /// Returns the tasks bound to the machine that its heartbeat doesn't list, without those whose
+    /// starts have not been sent yet.
+    fn missing_tasks(&self, index: MachineIndex, alive: &[TaskKey]) -> Vec<TaskKey> {
+        let Some(machine) = self.machines.get(index) else { return Vec::new() };
+        let is_unsent = |key: &TaskKey| machine.pending_starts.iter().any(|(sent, _)| sent == key);
+        let is_missing = |key: &&TaskKey| alive.binary_search(key).is_err() && !is_unsent(key);
+        machine.tasks.keys().filter(is_missing).copied().collect()
+    }
+
+    /// Fences the starts that were sent to a machine if it has lost a task that it had confirmed,
+    /// without a new agent epoch: it no longer knows the attempt, so that a copy of its start would
+    /// start it again. The task is requeued once the machine has acknowledged the fence.
+    fn fence_lost_attempts(&mut self, index: MachineIndex, alive: &[TaskKey]) {
+        let is_confirmed = |key: &TaskKey| {
+            let state = self.jobs.task(*key).map(|task| task.state);
+            matches!(state, Some(TaskState::On { .. } | TaskState::Stopping { .. }))
+        };
+        if !self.missing_tasks(index, alive).iter().any(is_confirmed) {
+            return;
+        }
+        let epoch = self.epoch();
+        let Some(machine) = self.machines.get_mut(index) else { return };
+        if machine.acknowledged_token <= machine.start_token {
+            machine.fence_commands(machine.start_token, epoch);
+            tracing::info!(
+                machine = %machine.name, fencing_token = machine.fencing_token,
+                "machine has lost tasks within its agent epoch"
+            );
+        }
+    }
+
+    /// Requeues the tasks bound to the machine that its heartbeat doesn't list, if
+    /// `starts_resolved`: otherwise a start order, or a copy of it, may still arrive.
     fn requeue_missing_tasks(
         &mut self,
         index: MachineIndex,
         alive: &[TaskKey],
         starts_resolved: bool,
     ) {
-        let Some(machine) = self.machines.get_mut(index) else { return };
-        let unsent: Vec<TaskKey> = machine.pending_starts.iter().map(|(key, _)| *key).collect();
-        let is_missing = |key: &TaskKey| alive.binary_search(key).is_err() && !unsent.contains(key);
-        let missing: Vec<TaskKey> =
-            machine.tasks.keys().filter(|key| is_missing(key)).copied().collect();
-        for key in missing {
-            let state = self.jobs.task(key).map(|task| task.state);
-            let starting = matches!(state, Some(TaskState::Starting { .. }));
-            if !starting || starts_resolved {
-                tracing::debug!(task = ?key, "task no longer reported by its machine");
-                self.return_to_queue(key);
-            }
+        if !starts_resolved {
+            return;
+        }
+        for key in self.missing_tasks(index, alive) {
+            tracing::debug!(task = ?key, "task no longer reported by its machine");
+            self.return_to_queue(key);
         }
     }
 
--- a/crates/core/tests/simulation/cluster.rs
+++ b/crates/core/tests/simulation/cluster.rs
@@ -26,6 +26,7 @@
 
 use clock::ScheduledEvent;
 use controllers::ControllerProcess;
+use faults::CapturedCall;
 use invariants::{AbortConfirmation, SentStart, StartAfterAbort};
 use network::{FaultyLink, HeldCall, Requester};
 use quartzgate_feature_gates::GateTable;
@@ -138,6 +139,9 @@
     pub duplicate_commands: Option<RandomDelay>,
     /// Number of commands that were delivered a second time.
     pub duplicated_commands: u64,
+    /// Keeps all calls that carry starts.
+    pub captures_starts: bool,
+    captured_starts: Vec<CapturedCall>,
     /// Number of commands without orders that workers received.
     pub empty_commands: u64,
     /// Share of heartbeats that are stored and replayed to every controller when a new leader is
@@ -234,6 +238,8 @@
             duplicate_heartbeats: None,
             duplicate_commands: None,
             duplicated_commands: 0,
+            captures_starts: false,
+            captured_starts: Vec::new(),
             empty_commands: 0,
             stale_heartbeat_share: 0.0,
             cut_from_all_workers: BTreeSet::new(),
--- a/crates/core/tests/simulation/cluster/faults.rs
+++ b/crates/core/tests/simulation/cluster/faults.rs
@@ -2,6 +2,7 @@
 //! and the milestones of a run at which tests inject faults.
 
 use super::clock::SimulationEvent;
+use super::invariants::carries_starts;
 use super::network::HeldCall;
 use super::Cluster;
 use quartzgate_core::records::FORMAT_KEY;
@@ -147,6 +148,29 @@
         }
     }
 
+    /// Keeps a call that carries starts, if a test asks for that, to deliver copies of it later.
+    pub(super) fn capture_starts(&mut self, from: usize, incarnation: u32, call: &Call) {
+        if self.captures_starts && carries_starts(call) && carries_command(call) {
+            let call = HeldCall { from, incarnation, call: duplicate_of(call) };
+            self.captured_starts.push(CapturedCall { sent_ms: self.now, call });
+        }
+    }
+
+    /// Delivers one more copy of each captured call that was sent at least `age_ms` ago.
+    pub fn deliver_copies_of_starts(&mut self, age_ms: u64) {
+        let due = self.captured_starts.iter().filter(|kept| self.now >= kept.sent_ms + age_ms);
+        let copies: Vec<HeldCall> = due
+            .map(|kept| HeldCall {
+                from: kept.call.from,
+                incarnation: kept.call.incarnation,
+                call: duplicate_of(&kept.call.call),
+            })
+            .collect();
+        for duplicate in copies {
+            self.schedule_after(1, SimulationEvent::DuplicateCall { duplicate });
+        }
+    }
+
     /// Replays the stored heartbeats to every controller after an election, with delays that fall
     /// before, during and after the new leader's recovery.
     pub(super) fn replay_stale_heartbeats(&mut self) {
@@ -166,6 +190,12 @@
     }
 }
 
+/// A command with starts, or its way to a relay, and when it was sent.
+pub(super) struct CapturedCall {
+    sent_ms: u64,
+    call: HeldCall,
+}
+
 fn duplicate_of(call: &Call) -> Call {
     Call {
         id: DUPLICATE_CALL,
--- a/crates/core/tests/simulation/cluster/network.rs
+++ b/crates/core/tests/simulation/cluster/network.rs
@@ -156,6 +156,7 @@
             return;
         }
         self.duplicate_command(from, incarnation, &call);
+        self.capture_starts(from, incarnation, &call);
         let delay_ms = self.random_delay_ms() + self.state_latency_ms(&to);
         self.schedule_after(delay_ms, SimulationEvent::Call { from, incarnation, call });
     }
--- a/crates/core/tests/simulation/cluster/workers.rs
+++ b/crates/core/tests/simulation/cluster/workers.rs
@@ -208,6 +208,15 @@
         self.schedule_after(ms, SimulationEvent::MachineRebooted { machine: name.into() });
     }
 
+    /// Restarts a machine within the lease: it loses all its tasks and returns after `ms` in the same
+    /// agent epoch, with the fencing token that it has seen.
+    pub fn restart_machine_in_same_epoch(&mut self, name: &str, ms: u64) {
+        self.reboot_machine(name, ms);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.agent_epoch -= 1;
+        }
+    }
+
     pub(super) fn on_machine_rebooted(&mut self, machine: String) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&machine) else { return };
--- a/crates/core/tests/simulation/main.rs
+++ b/crates/core/tests/simulation/main.rs
@@ -20,6 +20,7 @@
 mod job_batches;
 mod job_lifecycle;
 mod large_jobs;
+mod late_copies;
 mod machine_faults;
 mod overlapping_faults;
 mod overload;
