--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -103,6 +103,8 @@
     last_placement_ms: u64,
     last_reprobe_ms: u64,
     last_preemption_ms: u64,
+    /// When placement last took a snapshot of the free capacity.
+    pub(crate) last_capacity_snapshot_ms: u64,
     pub(crate) supply_changed: bool,
     pub(crate) next_round_ms: u64,
     pub(crate) next_second_ms: u64,
@@ -177,6 +179,7 @@
             last_placement_ms: 0,
             last_reprobe_ms: 0,
             last_preemption_ms: 0,
+            last_capacity_snapshot_ms: 0,
             supply_changed: false,
             next_round_ms: 0,
             next_second_ms: 0,
--- a/crates/core/src/placement/candidates.rs
+++ b/crates/core/src/placement/candidates.rs
@@ -9,13 +9,16 @@
 use std::collections::BinaryHeap;
 
 use ordered_float::OrderedFloat;
-use quartzgate_wire::msg::JobSpec;
+use quartzgate_wire::msg::{JobKind, JobSpec};
 use rand::Rng;
 
 use crate::controller::Controller;
 use crate::fleet::machines::{Machine, Resources};
 use crate::ids::{JobIndex, MachineIndex};
-use crate::jobs::Job;
+use crate::jobs::{Job, Task};
+
+/// How long the free resources of a machine are left to a queued task that does not fit there.
+const MAX_EARMARK_MS: u64 = 10_000;
 
 /// A machine on which tasks of the job may be placed.
 struct Candidate {
@@ -306,9 +309,10 @@
         }
     }
 
-    /// Returns the resources that are free on a machine now, and the part of them that the tasks in
-    /// its queue leave. The queue is read only as far as `need` still fits: once it does not fit,
-    /// the remaining queued tasks can't change that.
+    /// Returns the resources that are free on a machine now, without those that `job` may not use,
+    /// and the part of them that the tasks in its queue leave, apart from those that can't use it ([`Controller::leaves_capacity`]). The
+    /// queue is read only as far as `need` still fits: once it does not fit, the remaining queued
+    /// tasks can't change that.
     pub(super) fn free_and_spare(
         &self,
         index: MachineIndex,
@@ -321,24 +325,42 @@
             return (Resources::default(), Resources::default());
         }
         let mut free = capacity.minus(&machine.used);
-        match (job, self.gang_holds.get(&index)) {
-            (Some(job), held) => free = self.without_gang_holds(free, held, job),
-            (None, Some(held)) => free = free.minus(&held.resources),
-            (None, None) => {}
+        if let Some(job) = job {
+            let held = self.gang_holds.get(&index);
+            free = self.without_gang_holds(machine, free, held, job);
         }
         let mut spare = free;
         for key in &machine.probe_queue {
             if !spare.can_fit(need) {
                 break;
             }
-            let queued = self.jobs.get(key.job).filter(|job| !job.failing_everywhere());
-            let Some(queued) = queued else { continue };
-            let probes = queued.task(key.task).map_or(1, |task| task.probes.len()).max(1);
-            spare.add(&queued.resources(), -1.0 / probes as f64);
+            // What gangs may start on is held for them.
+            let takes_part =
+                |job: &&Job| !job.failing_everywhere() && job.spec.kind != JobKind::Gang;
+            let Some(queued) = self.jobs.get(key.job).filter(takes_part) else { continue };
+            let Some(task) = queued.task(key.task) else { continue };
+            if self.leaves_capacity(queued, task, index, machine) {
+                continue;
+            }
+            spare.add(&queued.resources(), -1.0 / task.probes.len().max(1) as f64);
         }
         (free, spare)
     }
 
+    /// Returns whether a queued task leaves a machine's free resources to others, because it has
+    /// waited for long and still can't use them.
+    fn leaves_capacity(
+        &self,
+        job: &Job,
+        task: &Task,
+        machine_index: MachineIndex,
+        machine: &Machine,
+    ) -> bool {
+        let waited_ms = self.context.now.steady_ms.saturating_sub(task.since_ms);
+        let fits = || self.resources_for(machine_index, machine, job).can_fit(&job.resources());
+        waited_ms >= MAX_EARMARK_MS && !fits()
+    }
+
     /// Returns the machine types that a job allows.
     fn allowed_types<'a>(&'a self, spec: &JobSpec) -> Vec<AllowedType<'a>> {
         let max_wait_s = self.wait_objective_s(&spec.class);
--- a/crates/core/src/placement/demand_ratios.rs
+++ b/crates/core/src/placement/demand_ratios.rs
@@ -1,7 +1,7 @@
 //! Ratios of demand to supply, and values updated with them once per heartbeat interval: expected
 //! waits, missed objectives, and whether GPUs are scarce.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use quartzgate_wire::msg::{JobKind, JobSpec, Priority, TaskStatus};
 
@@ -9,6 +9,7 @@
 use crate::fleet::machines::{Machine, Resources};
 use crate::ids::MachineIndex;
 use crate::jobs::{Job, JobState, Task, TaskState};
+use crate::placement::machine_class::MachineClass;
 use crate::placement::wait::expected_wait;
 
 /// Ratio of demand to supply for every constraint, computed once per heartbeat interval.
@@ -16,9 +17,11 @@
 pub(crate) struct DemandRatios {
     by_constraint: BTreeMap<Constraint, f64>,
     max: f64,
-    /// The maximum of each resource over single tasks of live jobs with GPUs; `None` while GPUs are
-    /// not scarce.
-    largest_gpu_task: Option<Resources>,
+    /// Whether GPUs are scarce.
+    are_gpus_scarce: bool,
+    /// While GPUs are scarce, the maximum of each resource over single tasks of the live jobs with
+    /// GPUs that may run on machines of a class, by class.
+    largest_gpu_tasks: BTreeMap<MachineClass, Resources>,
 }
 
 impl DemandRatios {
@@ -29,7 +32,7 @@
 
     /// Returns whether GPUs are scarce, so that they are reserved for tasks that need them.
     pub fn are_gpus_scarce(&self) -> bool {
-        self.largest_gpu_task.is_some()
+        self.are_gpus_scarce
     }
 
     /// Returns the ratio of each constraint that some live job has, by the constraint's name in the
@@ -105,8 +108,11 @@
         let max = by_constraint.values().copied().fold(0.0, f64::max);
         let gpu_ratio = by_constraint.get(&Constraint::Gpu);
         let are_gpus_scarce = gpu_ratio.is_some_and(|ratio| *ratio >= SCARCE_GPU_RATIO);
-        let largest_gpu_task = self.largest_gpu_task().filter(|_| are_gpus_scarce);
-        self.ratios = DemandRatios { by_constraint, max, largest_gpu_task };
+        let largest_gpu_tasks = match are_gpus_scarce {
+            true => self.largest_gpu_tasks(),
+            false => BTreeMap::new(),
+        };
+        self.ratios = DemandRatios { by_constraint, max, are_gpus_scarce, largest_gpu_tasks };
         self.update_job_urgency();
         self.update_machine_waits();
     }
@@ -167,29 +173,47 @@
         }
     }
 
-    /// Returns the maximum of each resource over single tasks of live jobs with GPUs, or `None` if
-    /// there is no such job.
-    fn largest_gpu_task(&self) -> Option<Resources> {
+    /// Returns the maximum of each resource over single tasks of the live jobs with GPUs that may run
+    /// on machines of a class, for the classes of usable machines that have such jobs.
+    fn largest_gpu_tasks(&self) -> BTreeMap<MachineClass, Resources> {
         let live = self.jobs.iter().filter(|(_, job)| job.state == JobState::Live);
-        let with_gpus = live.filter(|(_, job)| job.spec.gpus > 0.0);
-        with_gpus.map(|(_, job)| job.resources()).reduce(|max, need| Resources {
-            cpus: max.cpus.max(need.cpus),
-            gpus: max.gpus.max(need.gpus),
-            memory_gb: max.memory_gb.max(need.memory_gb),
-        })
+        let gpu_jobs: Vec<&Job> =
+            live.map(|(_, job)| job).filter(|job| job.spec.gpus > 0.0).collect();
+        let usable = self.machines.iter().filter(|(_, machine)| machine.usable());
+        let classes: BTreeSet<MachineClass> =
+            usable.filter_map(|(_, machine)| self.machine_class(machine)).collect();
+        let largest = |class: MachineClass| {
+            let suitable = gpu_jobs.iter().filter(|job| self.class_suits(class, &job.spec));
+            let max = suitable.map(|job| job.resources()).reduce(|max, need| Resources {
+                cpus: max.cpus.max(need.cpus),
+                gpus: max.gpus.max(need.gpus),
+                memory_gb: max.memory_gb.max(need.memory_gb),
+            });
+            max.map(|max| (class, max))
+        };
+        classes.into_iter().filter_map(largest).collect()
     }
 
     /// Returns the resources reserved on a machine, while GPUs are scarce, for the GPU tasks that
-    /// its free GPUs can serve. Tasks that need no GPUs and are below production priority don't get
-    /// them.
-    pub(crate) fn reserved_for_gpu_tasks(&self, free: &Resources) -> Resources {
+    /// may run there and that its free GPUs can serve.
+    pub(crate) fn reserved_for_gpu_tasks(&self, machine: &Machine, free: &Resources) -> Resources {
         let mut reserved = Resources::default();
-        if let Some(task) = self.ratios.largest_gpu_task {
-            reserved.add(&task, ((free.gpus + 1e-6) / task.gpus).max(0.0).floor());
+        if self.ratios.largest_gpu_tasks.is_empty() {
+            return reserved;
+        }
+        let class = self.machine_class(machine);
+        if let Some(task) = class.and_then(|class| self.ratios.largest_gpu_tasks.get(&class)) {
+            reserved.add(task, ((free.gpus + 1e-6) / task.gpus).max(0.0).floor());
         }
         reserved
     }
 
+    /// Returns whether a job does not get resources that are reserved for GPU tasks: it needs no
+    /// GPUs and is below production priority.
+    pub(crate) fn respects_gpu_reserve(&self, job: &Job) -> bool {
+        job.spec.gpus <= 0.0 && job.priority < Priority::Production
+    }
+
     /// Counts the deadline objectives of the class of the job's effective deadline that the job can
     /// no longer meet, if its own tasks and the jobs between it and that deadline take as long as
     /// estimated.
--- a/crates/core/src/placement/dispatch.rs
+++ b/crates/core/src/placement/dispatch.rs
@@ -73,7 +73,7 @@
         let fits = |key: &TaskKey| {
             let job = self.jobs.get(key.job);
             job.is_some_and(|job| {
-                self.without_gang_holds(free, held, job).can_fit(&job.resources())
+                self.without_gang_holds(machine, free, held, job).can_fit(&job.resources())
             })
         };
         if !machine.probe_queue.iter().any(fits) {
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -6,6 +6,7 @@
 //! is placed and started as a whole ([`gangs`]). Preemption, draining and re-probing revise earlier
 //! placements.
 
+mod backlog;
 pub(crate) mod candidates;
 pub(crate) mod demand_ratios;
 mod dispatch;
@@ -13,6 +14,8 @@
 mod free_capacity;
 pub(crate) mod gangs;
 mod job_zone;
+mod machine_class;
+mod placement_pass;
 pub(crate) mod placer;
 mod preemption;
 mod probes;
--- a/crates/core/src/placement/placer.rs
+++ b/crates/core/src/placement/placer.rs
@@ -3,17 +3,15 @@
 //! Jobs are placed by priority, then by missed objectives, then by the time at which they became
 //! ready, within the quotas of their teams ([`super::quota`]) and the search budget of one pass.
 
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
-
-use quartzgate_wire::msg::{JobKind, JobSpec, Priority};
+use quartzgate_wire::msg::{JobKind, JobSpec};
 
 use crate::controller::Controller;
 use crate::fleet::machines::{Machine, Resources};
 use crate::ids::{JobIndex, MachineIndex, TaskKey};
-use crate::jobs::{Job, JobState, TaskState};
+use crate::jobs::{Job, TaskState};
 use crate::placement::candidates::Candidates;
 use crate::placement::gangs::GangHold;
+use crate::placement::placement_pass::{PlacementLimit, PlacementPass};
 use crate::storage::records::TASKS_PER_CHUNK;
 
 /// Maximum number of a job's chunks in memory that have unfinished tasks.
@@ -22,28 +20,6 @@
 const PROBE_BYTES: f64 = 40.0;
 /// Maximum number of tasks placed in one pass; the rest are placed at the next event.
 pub(super) const MAX_PLACED_PER_PASS: u32 = 256;
-/// The backlog is full once waiting tasks ask for more than this fraction of the usable machines'
-/// CPUs.
-const FULL_BACKLOG_FRACTION: f64 = 0.5;
-
-/// CPUs that waiting tasks ask for, by priority, and CPUs of all usable machines.
-pub(crate) struct PlacementBacklog {
-    waiting_cpus: BTreeMap<Priority, f64>,
-    usable_cpus: f64,
-}
-
-impl PlacementBacklog {
-    /// Returns whether so many tasks of this priority and above wait in queues that no more need to
-    /// be placed yet.
-    pub fn is_full(&self, priority: Priority) -> bool {
-        let waiting: f64 = self.waiting_cpus.range(priority..).map(|(_, cpus)| cpus).sum();
-        waiting > FULL_BACKLOG_FRACTION * self.usable_cpus
-    }
-
-    fn add(&mut self, priority: Priority, cpus: f64) {
-        *self.waiting_cpus.entry(priority).or_default() += cpus;
-    }
-}
 
 impl Controller {
     /// Returns the resources of an empty machine of this type, or `None` if the type is unknown.
@@ -70,27 +46,24 @@
         machine: &Machine,
         job: &Job,
     ) -> Resources {
-        self.without_gang_holds(
-            self.free_resources(machine),
-            self.gang_holds.get(&machine_index),
-            job,
-        )
+        let held = self.gang_holds.get(&machine_index);
+        self.without_gang_holds(machine, self.free_resources(machine), held, job)
     }
 
     /// Returns the part of a machine's free resources that a job may use. Excludes the resources
-    /// held for gangs of at least the job's priority. If nothing is excluded for gangs and the job
-    /// needs no GPUs and is below production priority, excludes the resources reserved for GPU
-    /// tasks.
+    /// held for gangs of at least the job's priority. If nothing is excluded for gangs, excludes the
+    /// resources reserved for GPU tasks, if the job has to respect them.
     pub(crate) fn without_gang_holds(
         &self,
+        machine: &Machine,
         free: Resources,
         held: Option<&GangHold>,
         job: &Job,
     ) -> Resources {
         if let Some(hold) = held.filter(|hold| hold.priority >= job.priority) {
             free.minus(&hold.resources)
-        } else if job.spec.gpus <= 0.0 && job.priority < Priority::Production {
-            free.minus(&self.reserved_for_gpu_tasks(&free))
+        } else if self.respects_gpu_reserve(job) {
+            free.minus(&self.reserved_for_gpu_tasks(machine, &free))
         } else {
             free
         }
@@ -115,63 +88,23 @@
         if jobs.is_empty() {
             return;
         }
-        let mut backlog = self.backlog();
-        for (priority, job_index) in jobs {
-            if backlog.is_full(priority) {
-                continue;
-            }
+        let mut pass = PlacementPass::new(self.backlog());
+        for job_index in jobs {
+            let Some(limit) = self.placement_limit(job_index, &mut pass) else { continue };
             if !self.search_budget.is_available(now_ms) {
                 self.placement_due = true;
                 return;
             }
-            let cpus_before = self.waiting_cpus(job_index);
-            if self.place_job(job_index) {
-                backlog.add(priority, self.waiting_cpus(job_index) - cpus_before);
+            // Without a machine to choose, the search for one would be in vain.
+            if !pass.has_machine_for(self, job_index) {
+                self.postpone_placement(job_index);
+                continue;
             }
+            let placed = self.place_tasks(job_index, limit);
+            pass.note_placed(self, job_index, placed);
         }
     }
 
-    /// Returns the jobs with unplaced tasks in the order of placement: by priority, then by missed
-    /// objectives, then by the time at which they became ready.
-    fn jobs_to_place(&self) -> Vec<(Priority, JobIndex)> {
-        let now_ms = self.context.now.steady_ms;
-        let is_open = |job: &Job| {
-            job.state == JobState::Live
-                && job.next_unplaced < job.spec.tasks
-                && !job.failing_everywhere()
-                && now_ms >= job.placement_from_ms
-        };
-        let mut jobs: Vec<(JobIndex, &Job)> =
-            self.jobs.iter().filter(|(_, job)| is_open(job)).collect();
-        jobs.sort_by_key(|(index, job)| {
-            (Reverse(job.priority), job.missed_objectives, job.ready_ms, *index)
-        });
-        jobs.into_iter().map(|(index, job)| (job.priority, index)).collect()
-    }
-
-    /// Returns the CPUs that a job's waiting tasks ask for.
-    fn waiting_cpus(&self, job_index: JobIndex) -> f64 {
-        let asked_cpus = |job: &Job| f64::from(job.demanded_tasks(job.waiting)) * job.spec.cpus;
-        self.jobs.get(job_index).map_or(0.0, asked_cpus)
-    }
-
-    /// Computes the CPUs of the tasks that wait in queues, and those of all usable machines.
-    pub(crate) fn backlog(&self) -> PlacementBacklog {
-        let mut waiting_cpus: BTreeMap<Priority, f64> = BTreeMap::new();
-        for (_, job) in self.jobs.iter().filter(|(_, job)| job.waiting > 0) {
-            *waiting_cpus.entry(job.priority).or_default() +=
-                f64::from(job.demanded_tasks(job.waiting)) * job.spec.cpus;
-        }
-        let usable_cpus = self
-            .machines
-            .iter()
-            .filter(|(_, machine)| machine.usable())
-            .filter_map(|(_, machine)| self.capacity_of(&machine.kind))
-            .map(|capacity| capacity.cpus)
-            .sum();
-        PlacementBacklog { waiting_cpus, usable_cpus }
-    }
-
     /// Returns the time that a machine of this type takes to fetch a job's image, in seconds; 0 if
     /// the type is unknown or has no fetch rate.
     pub(crate) fn fetch_s(&self, spec: &JobSpec, kind: &str) -> f64 {
@@ -205,27 +138,38 @@
         self.context.config.operator.probes.min((max_probes as usize).max(1))
     }
 
-    /// Places as many of a job's tasks as the team's quota and the limits of one pass allow.
-    /// Returns whether any task was placed.
+    /// Places as many of a job's tasks as the team's quota and the limits of one pass allow. Returns whether any task was placed.
     pub(crate) fn place_job(&mut self, job_index: JobIndex) -> bool {
-        let Some(job) = self.jobs.get(job_index) else { return false };
+        self.place_tasks(job_index, PlacementLimit::OnePass) > 0
+    }
+
+    /// Places as many of a job's tasks as `limit` and the team's quota allow. Returns how many were
+    /// placed.
+    fn place_tasks(&mut self, job_index: JobIndex, limit: PlacementLimit) -> u32 {
+        let Some(job) = self.jobs.get(job_index) else { return 0 };
         if job.spec.kind == JobKind::Gang {
-            return false;
+            return 0;
         }
         let (team, need, spec) = (job.team, job.resources(), job.spec.clone());
-        if !self.within_quota(team, &need) || !job.may_open_chunk() {
-            return false;
+        let may_open_chunk = job.may_open_chunk();
+        let may_place = |placed: u32| match limit {
+            PlacementLimit::OnePass => placed < MAX_PLACED_PER_PASS,
+            PlacementLimit::Tasks(max_tasks) => placed < max_tasks,
+        };
+        if !may_open_chunk || !self.within_quota(team, &need) {
+            return 0;
         }
         let mut candidates = self.candidates_for(job_index);
         if candidates.is_empty() {
-            return self.postpone_placement(job_index);
+            self.postpone_placement(job_index);
+            return 0;
         }
         let probe_count = self.probe_count(&spec);
         if spec.together {
             self.choose_job_zone(job_index, &candidates);
         }
         let mut placed = 0;
-        while placed < MAX_PLACED_PER_PASS && self.within_quota(team, &need) {
+        while may_place(placed) && self.within_quota(team, &need) {
             let Some(task) = self.next_task_to_place(job_index) else { break };
             let key = TaskKey { job: job_index, task };
             let unplaced = self.jobs.task(key).map(|t| t.state) == Some(TaskState::Unplaced);
@@ -237,7 +181,10 @@
             }
             placed += 1;
         }
-        placed > 0 || self.postpone_placement(job_index)
+        if placed == 0 {
+            self.postpone_placement(job_index);
+        }
+        placed
     }
 
     /// Returns the next task of a job that is not in a done chunk, and opens its chunk if needed.
@@ -275,13 +222,12 @@
     }
 
     /// Postpones placement of a job for which no machine was found, so that it is not tried again
-    /// at every event. Always returns false.
-    fn postpone_placement(&mut self, job_index: JobIndex) -> bool {
+    /// at every event.
+    fn postpone_placement(&mut self, job_index: JobIndex) {
         let retry_at_ms = self.context.now.steady_ms + self.context.config.write_batch_ms();
         if let Some(job) = self.jobs.get_mut(job_index) {
             job.placement_from_ms = retry_at_ms;
         }
-        false
     }
 
     fn place_task(
--- a/crates/core/src/placement/reprobe.rs
+++ b/crates/core/src/placement/reprobe.rs
@@ -7,6 +7,7 @@
 use crate::ids::{JobIndex, MachineIndex, TaskKey};
 use crate::jobs::{Job, JobState, Task, TaskState};
 use crate::placement::candidates::Candidates;
+use crate::placement::free_capacity::FreeCapacity;
 use crate::placement::placer::MAX_PLACED_PER_PASS;
 use crate::storage::records::TASKS_PER_CHUNK;
 
@@ -61,6 +62,9 @@
         let free_capacity = self.free_capacity();
         let (mut checked, mut reprobed) = (0, 0);
         for job_index in jobs {
+            if !self.has_machine_for(&free_capacity, job_index) {
+                continue;
+            }
             let Some(keys) = self.tasks_to_reprobe(job_index) else { continue };
             if !self.search_budget.is_available(now_ms) {
                 return false;
@@ -92,6 +96,11 @@
         true
     }
 
+    fn has_machine_for(&self, free_capacity: &FreeCapacity, job_index: JobIndex) -> bool {
+        let job = self.jobs.get(job_index);
+        job.is_some_and(|job| free_capacity.has_machine_for(self, &job.spec))
+    }
+
     fn choose_zone_if_bound_to_one(&mut self, job_index: JobIndex, candidates: &Candidates) {
         if self.jobs.get(job_index).is_some_and(|job| job.spec.together) {
             self.choose_job_zone(job_index, candidates);
@@ -112,7 +121,7 @@
 
     /// Returns whether a waiting task needs no new probes: a probed machine on which the job has
     /// not failed has free capacity; or a probed machine may have free capacity later and no other
-    /// machine of `free_machines` has any. Also adds the task to the queues of its probed machines.
+    /// machine of `free_machines` has any, Also adds the task to the queues of its probed machines.
     fn is_well_placed(&mut self, key: TaskKey, free_machines: &[MachineIndex]) -> bool {
         // A probed machine may have become usable since the task began to wait.
         self.enqueue(key);
--- a/crates/core/tests/simulation/cluster.rs
+++ b/crates/core/tests/simulation/cluster.rs
@@ -15,6 +15,7 @@
 mod users;
 mod workers;
 
+pub use cloud::SECOND_MACHINE_TYPE;
 pub use faults::{Milestone, RandomDelay, ReachedMilestone, UnansweredWrite, WriteFault};
 pub use network::{Endpoint, LinkFault};
 pub use state_service::{LateRefusal, StateLimits, ThrottledKey};
@@ -117,6 +118,8 @@
     provision_answers: BTreeMap<String, Vec<String>>,
     /// GPUs of each machine.
     pub machine_gpus: f64,
+    /// The cloud publishes a second machine type.
+    pub offers_second_machine_type: bool,
 
     // The workers.
     pub workers: BTreeMap<String, Worker>,
@@ -228,6 +231,7 @@
             lost_provision_answers: 0,
             provision_answers: BTreeMap::new(),
             machine_gpus: 0.0,
+            offers_second_machine_type: false,
             workers: BTreeMap::new(),
             task_duration_ms: BTreeMap::new(),
             fetch_gb_per_s: None,
--- a/crates/core/tests/simulation/cluster/cloud.rs
+++ b/crates/core/tests/simulation/cluster/cloud.rs
@@ -15,6 +15,11 @@
 /// Maximum number of machines that one provisioning request is given.
 const MAX_MACHINES_PER_REQUEST: u32 = 4;
 
+/// Type of the machines that a cluster starts with.
+pub const MACHINE_TYPE: &str = "k8";
+/// Type of the same size that the cloud publishes if `offers_second_machine_type` is set.
+pub const SECOND_MACHINE_TYPE: &str = "m8";
+
 impl Cluster {
     pub(super) fn on_cloud_call(&mut self, call: &Call) -> Response {
         let path = call.target.split('?').next().unwrap();
@@ -27,8 +32,8 @@
     }
 
     fn machine_types(&self) -> Response {
-        let machine_type = MachineType {
-            name: "k8".into(),
+        let machine_type = |name: &str| MachineType {
+            name: name.into(),
             cpus: 8.0,
             gpus: self.machine_gpus,
             memory_gb: MEMORY_GB,
@@ -39,7 +44,11 @@
             boot_s: 3.0,
             zones: vec!["a".into(), "b".into()],
         };
-        Response::new(200, to_cbor(&MachineTypes { types: vec![machine_type] }))
+        let types = match self.offers_second_machine_type {
+            true => vec![machine_type(MACHINE_TYPE), machine_type(SECOND_MACHINE_TYPE)],
+            false => vec![machine_type(MACHINE_TYPE)],
+        };
+        Response::new(200, to_cbor(&MachineTypes { types }))
     }
 
     fn machine_list(&self) -> Response {
--- a/crates/core/tests/simulation/cluster/workers.rs
+++ b/crates/core/tests/simulation/cluster/workers.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 
 use super::clock::SimulationEvent;
+use super::cloud::MACHINE_TYPE;
 use super::network::{HeldCall, Requester};
 use super::{
     job_of, machine_name, Cluster, Endpoint, Milestone, HEARTBEAT_INTERVAL_MS, WORKER_LEASE_MS,
@@ -169,7 +170,7 @@
     pub(super) fn boot(&mut self, name: &str, zone: &str, spot: bool) {
         let worker = Worker {
             zone: zone.into(),
-            kind: "k8".into(),
+            kind: MACHINE_TYPE.into(),
             cpus: 8.0,
             spot,
             agent_epoch: 1,
--- a/crates/core/tests/simulation/main.rs
+++ b/crates/core/tests/simulation/main.rs
@@ -8,6 +8,7 @@
 
 mod abort_confirmations;
 mod aborts;
+mod blocked_work;
 mod cluster;
 mod dependencies;
 mod duplicate_commands;
