--- a/crates/core/src/controller.rs
+++ b/crates/core/src/controller.rs
@@ -28,6 +28,7 @@
 use crate::membership::{Membership, Role};
 use crate::placement::demand_ratios::DemandRatios;
 use crate::placement::gangs::GangHold;
+use crate::placement::quota::QuotaClaim;
 use crate::placement::search_budget::SearchBudget;
 use crate::recovery::{RecordedJobReads, Recovery, RecoveryCall};
 use crate::storage::calls::StorageCall;
@@ -41,12 +42,19 @@
 /// Resources used by a team.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct TeamUsage {
-    /// Resources of placed tasks that are not proven to have ended; compared with the quota.
+    /// Resources of placed tasks that are not proven to have ended.
     pub reserved: Resources,
     /// Resources of tasks on machines.
     pub bound: Resources,
     /// Resources of tasks that may still be on machines because they are not proven to be gone.
     pub unproven: Resources,
+    /// The part of the team's limit that is held for a job, see [`crate::placement`].
+    pub hold: Option<QuotaClaim>,
+    /// What the team's first gang needs that fits on machines and not within the limit.
+    pub blocked_gang: Option<QuotaClaim>,
+    /// What a task needs of the team's first job with unplaced tasks that fit on machines and not
+    /// within the limit.
+    pub blocked_job: Option<QuotaClaim>,
 }
 
 /// A controller: routes each event to the modules that own the affected state, and collects their
@@ -256,6 +264,7 @@
             self.read_unverified_jobs();
             self.read_recorded_jobs();
             self.retry_batch_reads();
+            self.update_quota_holds();
             self.placement_due = true;
             self.dispatch_waiting_machines();
             self.log_metrics();
--- a/crates/core/src/fleet/provisioning/demand.rs
+++ b/crates/core/src/fleet/provisioning/demand.rs
@@ -45,7 +45,7 @@
                 }
                 continue;
             }
-            let wanted = self.wanted_tasks(job, &mut claimed_cpus[job.team]);
+            let wanted = self.wanted_tasks(job, &pool, &mut claimed_cpus[job.team]);
             if job.spec.together {
                 unmet.extend(self.unmet_in_one_zone(job, wanted, &mut pool));
                 continue;
@@ -109,14 +109,18 @@
         capacity.gpus > 0.0 && spec.gpus <= 0.0 && self.ratios.are_gpus_scarce()
     }
 
-    /// Returns for how many tasks of a job capacity is wanted, within its team's limit. The CPUs of
-    /// tasks that are not placed yet are added to `claimed_cpus`, the claims of the team's jobs.
-    fn wanted_tasks(&self, job: &Job, claimed_cpus: &mut f64) -> u32 {
+    /// Returns for how many tasks of a job capacity is wanted, within what its team's limit leaves
+    /// beside the tasks that may be on machines. The CPUs of these tasks are added to
+    /// `claimed_cpus`, the claims of the team's jobs, unless they can't be obtained now.
+    fn wanted_tasks(&self, job: &Job, pool: &CapacityPool, claimed_cpus: &mut f64) -> u32 {
         let waiting =
             job.tasks().filter(|(_, task)| task.state == TaskState::Waiting).count() as u32;
-        let unplaced = unplaced_tasks(job).min(self.tasks_within_limit(job, *claimed_cpus));
-        *claimed_cpus += f64::from(unplaced) * job.spec.cpus;
-        let wanted = job.demanded_tasks(waiting + unplaced);
+        let open = waiting + unplaced_tasks(job);
+        let within_limit = open.min(self.tasks_within_limit(job, *claimed_cpus));
+        if self.is_obtainable(job, pool) {
+            *claimed_cpus += f64::from(within_limit) * job.spec.cpus;
+        }
+        let wanted = job.demanded_tasks(within_limit);
         // Best-effort jobs use spare capacity: capacity is wanted for at most one task of such a
         // job, and only while none of its tasks is bound to a machine.
         match self.is_best_effort(job) {
@@ -131,10 +135,18 @@
         if max_cpus <= 0.0 {
             return u32::MAX;
         }
-        let cpus_left = max_cpus - self.teams[job.team].reserved.cpus - claimed_cpus;
+        let used_cpus = self.teams[job.team].possibly_running().cpus;
+        let cpus_left = max_cpus - used_cpus - claimed_cpus;
         (cpus_left / job.spec.cpus.max(MIN_TASK_CPUS)).max(0.0) as u32
     }
 
+    /// Returns whether a task of a job can get capacity now: a machine has some, or an offer that may
+    /// run it has not been refused recently.
+    fn is_obtainable(&self, job: &Job, pool: &CapacityPool) -> bool {
+        let eligible = |group: &MachineGroup| self.is_eligible(&job.spec, group);
+        self.has_available_offer(&job.spec) || pool.count_fitting(&job.resources(), eligible) > 0
+    }
+
     fn zone_count(&self) -> usize {
         self.context.config.platform.params.zones.len()
     }
--- a/crates/core/src/fleet/provisioning/scale_out.rs
+++ b/crates/core/src/fleet/provisioning/scale_out.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use quartzgate_wire::msg::{MachineNames, MachineType, ProvisionRequest};
+use quartzgate_wire::msg::{JobSpec, MachineNames, MachineType, ProvisionRequest};
 use quartzgate_wire::{from_cbor, to_cbor};
 
 use super::demand::UnmetDemand;
@@ -119,12 +119,8 @@
         if tasks_each == 0 || self.wastes_scarce_gpus(spec, &capacity) {
             return Vec::new();
         }
-        let zones = self.context.config.platform.params.zones.iter().enumerate();
-        zones
-            .filter(|(_, name)| machine_type.zones.contains(name))
-            .flat_map(|(zone, _)| [(zone as u16, true), (zone as u16, false)])
-            .map(|(zone, spot)| Offer { kind: machine_type.name.clone(), zone, spot })
-            .filter(|offer| self.is_available(offer, machine_type, demand))
+        self.offers_in_zones(machine_type)
+            .filter(|offer| self.is_available(offer, machine_type, spec))
             .map(|offer| {
                 let price = if offer.spot { machine_type.spot_price } else { machine_type.price };
                 // The tasks that run bear the price of capacity that would stay unused.
@@ -136,15 +132,34 @@
             .collect()
     }
 
-    /// Returns whether the demanded tasks may run on an offer that has not been refused recently.
-    fn is_available(
-        &self,
-        offer: &Offer,
-        machine_type: &MachineType,
-        demand: &UnmetDemand,
-    ) -> bool {
+    /// Returns whether tasks of a job may run on some offer that has not been refused recently.
+    pub(super) fn has_available_offer(&self, spec: &JobSpec) -> bool {
+        if self.provisioner.refused_until_ms.is_empty() {
+            return true;
+        }
+        let has_offer = |machine_type: &MachineType| {
+            self.offers_in_zones(machine_type)
+                .any(|offer| self.is_available(&offer, machine_type, spec))
+        };
+        self.machine_types.iter().any(has_offer)
+    }
+
+    /// Iterates over the offers of a machine type, in each of its zones as spot and on-demand.
+    fn offers_in_zones<'a>(
+        &'a self,
+        machine_type: &'a MachineType,
+    ) -> impl Iterator<Item = Offer> + 'a {
+        let zones = self.context.config.platform.params.zones.iter().enumerate();
+        zones
+            .filter(|(_, name)| machine_type.zones.contains(name))
+            .flat_map(|(zone, _)| [(zone as u16, true), (zone as u16, false)])
+            .map(|(zone, spot)| Offer { kind: machine_type.name.clone(), zone, spot })
+    }
+
+    /// Returns whether tasks of a job may run on an offer that has not been refused recently.
+    fn is_available(&self, offer: &Offer, machine_type: &MachineType, spec: &JobSpec) -> bool {
         let sold_as_spot = machine_type.spot_price > 0.0;
-        self.allows(&demand.spec, &offer.kind, Some(offer.zone), offer.spot)
+        self.allows(spec, &offer.kind, Some(offer.zone), offer.spot)
             && !self.provisioner.refused_until_ms.contains_key(offer)
             && (!offer.spot || sold_as_spot)
     }
--- a/crates/core/src/placement/candidates.rs
+++ b/crates/core/src/placement/candidates.rs
@@ -339,7 +339,7 @@
                 |job: &&Job| !job.failing_everywhere() && job.spec.kind != JobKind::Gang;
             let Some(queued) = self.jobs.get(key.job).filter(takes_part) else { continue };
             let Some(task) = queued.task(key.task) else { continue };
-            if self.leaves_capacity(queued, task, index, machine) {
+            if self.leaves_capacity(key.job, queued, task, index, machine) {
                 continue;
             }
             spare.add(&queued.resources(), -1.0 / task.probes.len().max(1) as f64);
@@ -351,14 +351,17 @@
     /// waited for long and still can't use them.
     fn leaves_capacity(
         &self,
+        job_index: JobIndex,
         job: &Job,
         task: &Task,
         machine_index: MachineIndex,
         machine: &Machine,
     ) -> bool {
         let waited_ms = self.context.now.steady_ms.saturating_sub(task.since_ms);
-        let fits = || self.resources_for(machine_index, machine, job).can_fit(&job.resources());
-        waited_ms >= MAX_EARMARK_MS && !fits()
+        let need = job.resources();
+        let fits = || self.resources_for(machine_index, machine, job).can_fit(&need);
+        waited_ms >= MAX_EARMARK_MS
+            && !(fits() && self.may_start_within_quota(job_index, job, &need))
     }
 
     /// Returns the machine types that a job allows.
--- a/crates/core/src/placement/dispatch.rs
+++ b/crates/core/src/placement/dispatch.rs
@@ -145,21 +145,40 @@
         machine_index: MachineIndex,
     ) -> bool {
         let Some(chunk) = job.chunks.get(&(key.task / TASKS_PER_CHUNK)) else { return false };
+        self.may_start_on_some_machine(job, task)
+            && self.may_start_within_quota(key.job, job, &job.resources())
+            && task.probes.iter().any(|probe| {
+                probe.machine == machine_index && probe.version <= chunk.stored_version
+            })
+            && self
+                .machines
+                .get(machine_index)
+                .is_some_and(|machine| self.task_allows(job, key, task, machine))
+    }
+
+    /// Returns whether a task may start now on a machine that its record names, as far as that does
+    /// not depend on the machine or on the team's limit.
+    pub(super) fn may_start_on_some_machine(&self, job: &Job, task: &Task) -> bool {
+        let now_ms = self.context.now.steady_ms;
         job.state == JobState::Live
             && !job.must_reread_record
             && task.state == TaskState::Waiting
-            && task.not_before_ms <= self.context.now.steady_ms
-            && job.may_start_now(self.context.now.steady_ms)
-            && self.may_start_within_quota(job.team, &job.resources())
+            && task.not_before_ms <= now_ms
+            && job.may_start_now(now_ms)
             && task.probes.iter().all(|probe| !probe.unproven)
-            && task.probes.iter().any(|probe| {
-                probe.machine == machine_index && probe.version <= chunk.stored_version
-            })
-            && self.machines.get(machine_index).is_some_and(|machine| {
-                (task.zone.is_none() || task.zone == machine.zone)
-                    && self.may_start_in_zone(job, key, machine.zone)
-                    && self.allows(&job.spec, &machine.kind, machine.zone, machine.spot)
-            })
+    }
+
+    /// Returns whether the constraints of a task and its job allow a machine.
+    pub(super) fn task_allows(
+        &self,
+        job: &Job,
+        key: TaskKey,
+        task: &Task,
+        machine: &Machine,
+    ) -> bool {
+        (task.zone.is_none() || task.zone == machine.zone)
+            && self.may_start_in_zone(job, key, machine.zone)
+            && self.allows(&job.spec, &machine.kind, machine.zone, machine.spot)
     }
 
     /// Returns another probed machine of the task that has free capacity and, unlike this one, the
--- a/crates/core/src/placement/gangs.rs
+++ b/crates/core/src/placement/gangs.rs
@@ -14,6 +14,7 @@
 use crate::fleet::machines::Resources;
 use crate::ids::{JobIndex, MachineIndex, TaskKey};
 use crate::jobs::{Job, JobState, Task, TaskState};
+use crate::placement::quota::{JobRank, QuotaClaim};
 use crate::storage::records::TASKS_PER_CHUNK;
 
 /// The state of a gang, derived from the states of its tasks.
@@ -59,6 +60,16 @@
     Deferred,
 }
 
+/// The outcome of an attempt to start a gang.
+enum GangStart {
+    /// The gang was started, or its plan holds the resources on which it will start.
+    Planned,
+    /// The gang has a plan, and its team's limit keeps it waiting.
+    OverQuota,
+    /// The gang has to be placed anew.
+    NoPlan,
+}
+
 /// A machine that a gang may use, and how many of the gang's tasks fit on it.
 struct GangCandidate {
     machine: MachineIndex,
@@ -111,13 +122,15 @@
     pub(crate) fn tick_gangs(&mut self) {
         let mut holds = GangHolds::new();
         let mut unplanned = Vec::new();
+        self.teams.iter_mut().for_each(|usage| usage.blocked_gang = None);
         for (priority, job_index) in self.gangs_by_priority() {
             let Some(job) = self.jobs.get(job_index) else { continue };
             match GangState::of(job) {
-                GangState::Unbound if self.start_gang(job_index) => {
-                    self.hold_planned(job_index, priority, &mut holds)
-                }
-                GangState::Unbound => unplanned.push((priority, job_index)),
+                GangState::Unbound => match self.start_gang(job_index) {
+                    GangStart::Planned => self.hold_planned(job_index, priority, &mut holds),
+                    GangStart::OverQuota => {}
+                    GangStart::NoPlan => unplanned.push((priority, job_index)),
+                },
                 GangState::PartlyBound => self.stop_partly_bound_gang(job_index),
                 GangState::Bound | GangState::Unproven => {}
             }
@@ -187,33 +200,56 @@
         if !self.may_plan_gang(job) {
             return GangPlan::Deferred;
         }
+        // Only the first gang of a team that its limit keeps waiting is planned further.
+        let is_within_quota = self.gang_within_quota(job_index, job);
+        if !is_within_quota && self.teams[job.team].blocked_gang.is_some() {
+            return GangPlan::Deferred;
+        }
         let candidates = self.gang_candidates(job, priority, holds);
         let Some(candidates) = self.restrict_to_one_zone(job, candidates) else {
             return GangPlan::Incomplete(Vec::new());
         };
         let places = gang_places(job, candidates);
-        if (places.len() as u32) < job.spec.tasks {
+        if (places.len() as u32) < job.spec.tasks && is_within_quota {
             return GangPlan::Incomplete(places.into_iter().map(|place| place.machine).collect());
         }
+        if (places.len() as u32) < job.spec.tasks {
+            // Machines are not held for a gang that could not start on them.
+            return GangPlan::Deferred;
+        }
+        if !is_within_quota {
+            let mut resources = Resources::default();
+            resources.add(&job.resources(), f64::from(job.spec.tasks));
+            let claim = QuotaClaim { rank: JobRank::of(job_index, job), resources };
+            let team = job.team;
+            self.teams[team].blocked_gang = Some(claim);
+            return GangPlan::Deferred;
+        }
         self.place_gang(job_index, places);
         GangPlan::Complete
     }
 
-    /// Returns whether free resources are all that the plan of a gang still needs: no placement
-    /// record is dirty or in flight, no task is backing off, and the whole gang is within the
-    /// team's quota.
+    /// Returns whether free resources and the team's quota are all that the plan of a gang still
+    /// needs: no placement record is dirty or in flight, and no task is backing off.
     fn may_plan_gang(&self, job: &Job) -> bool {
         let now_ms = self.context.now.steady_ms;
-        if job.chunks.values().any(|chunk| chunk.busy || chunk.dirty)
-            || job.tasks().any(|(_, task)| task.not_before_ms > now_ms)
-        {
-            return false;
-        }
+        !job.chunks.values().any(|chunk| chunk.busy || chunk.dirty)
+            && !job.tasks().any(|(_, task)| task.not_before_ms > now_ms)
+    }
+
+    /// Returns whether the whole gang is within the team's quota: beside all that is placed, or
+    /// beside the tasks that use the limit and those that claim it before the gang.
+    fn gang_within_quota(&self, job_index: JobIndex, job: &Job) -> bool {
         let reserved =
             job.tasks().filter(|(_, task)| task.state.holds_reservation()).count() as u32;
         let mut additional = Resources::default();
         additional.add(&job.resources(), f64::from(job.spec.tasks - reserved));
-        self.within_quota(job.team, &additional)
+        self.within_reservation(job.team, &additional) || {
+            let mut claims = self.quota_claims(job.team);
+            let rank = JobRank::of(job_index, job);
+            claims.retain(|claim| claim.rank != rank);
+            self.tasks_within_quota(job_index, job, &claims, job.spec.tasks) == job.spec.tasks
+        }
     }
 
     /// Returns the machines for a gang, sorted by how many of its tasks fit, most first. Resources
@@ -294,33 +330,36 @@
         }
     }
 
-    /// Starts a gang if its placement is recorded and its planned resources are still free. Returns
-    /// false if the gang has to be placed anew.
-    fn start_gang(&mut self, job_index: JobIndex) -> bool {
+    /// Starts a gang if its placement is recorded and its planned resources are still free.
+    fn start_gang(&mut self, job_index: JobIndex) -> GangStart {
         if !self.may_start_tasks() {
-            return true;
+            return GangStart::Planned;
         }
-        let Some(job) = self.jobs.get(job_index) else { return true };
+        let Some(job) = self.jobs.get(job_index) else { return GangStart::Planned };
         if job.chunks.is_empty() || job.done >= job.spec.tasks {
-            return job.done > 0;
+            return if job.done > 0 { GangStart::Planned } else { GangStart::NoPlan };
         }
         if job.chunks.values().any(|chunk| chunk.busy || chunk.dirty) {
-            return true;
+            return GangStart::Planned;
         }
-        let Some(places) = self.startable_places(job_index, job) else { return false };
-        if !self.gang_fits(job, &places) || places.len() as u32 != job.spec.tasks {
-            return false;
+        let Some(places) = self.startable_places(job_index, job) else { return GangStart::NoPlan };
+        let machines = places.iter().map(|(_, machine)| *machine);
+        if !self.gang_fits(job, machines) || places.len() as u32 != job.spec.tasks {
+            return GangStart::NoPlan;
         }
         let mut gang_resources = Resources::default();
         gang_resources.add(&job.resources(), places.len() as f64);
-        if job.must_reread_record || !self.may_start_within_quota(job.team, &gang_resources) {
-            return true;
+        if job.must_reread_record {
+            return GangStart::Planned;
+        }
+        if !self.may_start_within_quota(job_index, job, &gang_resources) {
+            return GangStart::OverQuota;
         }
         let attempt = self.next_attempt();
         for (key, machine) in places {
             self.bind_with_attempt(key, machine, attempt);
         }
-        true
+        GangStart::Planned
     }
 
     /// Returns the machine on which each task of a gang may start, or `None` if some task may not
@@ -339,13 +378,20 @@
         job.tasks().map(place).collect()
     }
 
-    /// Returns whether all tasks of a gang fit on the machines on which they are placed.
-    fn gang_fits(&self, job: &Job, places: &[(TaskKey, MachineIndex)]) -> bool {
+    /// Returns whether all tasks of a gang fit on the machines on which they are planned.
+    pub(super) fn plan_fits(&self, job: &Job) -> bool {
+        let place = |(_, task): (u32, &Task)| task.probes.first().map(|probe| probe.machine);
+        let machines: Option<Vec<MachineIndex>> = job.tasks().map(place).collect();
+        machines.is_some_and(|machines| self.gang_fits(job, machines.into_iter()))
+    }
+
+    /// Returns whether all tasks of a gang fit on these machines, one on each.
+    fn gang_fits(&self, job: &Job, machines: impl Iterator<Item = MachineIndex>) -> bool {
         let now_ms = self.context.now.steady_ms;
         let need = job.resources();
         let mut needed: BTreeMap<MachineIndex, Resources> = BTreeMap::new();
-        for (_, machine) in places {
-            needed.entry(*machine).or_default().add(&need, 1.0);
+        for machine in machines {
+            needed.entry(machine).or_default().add(&need, 1.0);
         }
         needed.iter().all(|(index, resources)| {
             let machine =
--- a/crates/core/src/placement/placement_pass.rs
+++ b/crates/core/src/placement/placement_pass.rs
@@ -1,12 +1,18 @@
-//! One pass of placement: which jobs are placed although the backlog is full.
+//! One pass of placement: which jobs are placed although the backlog is full, or although placed
+//! tasks reserve their team's whole limit.
 //!
-//! Invariant: a job that has waited and for which a machine has spare resources is placed, whatever
-//! else waits. What is placed beyond the backlog is bounded by these resources.
+//! Invariant: a job for which a machine has spare resources, and its team's limit has room beside
+//! the tasks that use it or may use it first, is placed, whatever else waits. What is placed beyond
+//! the backlog and the reservation is bounded by these resources.
+
+use std::collections::BTreeMap;
 
 use super::backlog::{ClassBacklog, PlacementBacklog};
 use super::free_capacity::FreeCapacity;
 use super::placer::MAX_PLACED_PER_PASS;
+use super::quota::{JobRank, QuotaClaim};
 use crate::controller::Controller;
+use crate::fleet::machines::Resources;
 use crate::ids::JobIndex;
 use crate::jobs::Job;
 
@@ -34,14 +40,16 @@
 struct CapacitySnapshot {
     backlog: ClassBacklog,
     free: FreeCapacity,
+    /// What waiting tasks claim of their team's limit, by team, for the teams that were asked for.
+    claims: BTreeMap<usize, Vec<QuotaClaim>>,
 }
 
 /// How many tasks of a job may be placed in a pass.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum PlacementLimit {
-    /// As many as one pass allows.
-    OnePass,
-    /// This many: machines have spare resources for them.
+    /// As many as can be reserved within the team's limit and as one pass allows.
+    Reservation,
+    /// This many: machines have spare resources for them, and the team's limit has room.
     Tasks(u32),
 }
 
@@ -64,15 +72,19 @@
         let cpus = f64::from(tasks) * job.spec.cpus;
         self.backlog.add(job.priority, cpus);
         if let Snapshot::Taken(snapshot) = &mut self.snapshot {
-            snapshot.note_placed(controller, job, tasks);
+            snapshot.note_placed(controller, job_index, job, tasks);
         }
     }
 }
 
 impl CapacitySnapshot {
-    fn note_placed(&mut self, controller: &Controller, job: &Job, tasks: u32) {
-        self.backlog.add_placed(controller, job, f64::from(tasks) * job.spec.cpus);
+    fn note_placed(&mut self, controller: &Controller, job_index: JobIndex, job: &Job, tasks: u32) {
+        let mut resources = Resources::default();
+        resources.add(&job.resources(), f64::from(tasks));
+        self.backlog.add_placed(controller, job, resources.cpus);
         self.free.take(controller, job, tasks, |zone| controller.is_open_zone(job, zone));
+        let claim = QuotaClaim { rank: JobRank::of(job_index, job), resources };
+        self.claims.entry(job.team).or_default().push(claim);
     }
 }
 
@@ -84,20 +96,27 @@
         pass: &mut PlacementPass,
     ) -> Option<PlacementLimit> {
         let job = self.jobs.get(job_index)?;
-        if !pass.backlog.is_full(job.priority) {
-            return Some(PlacementLimit::OnePass);
+        let may_reserve = self.within_reservation(job.team, &job.resources());
+        if may_reserve && !pass.backlog.is_full(job.priority) {
+            return Some(PlacementLimit::Reservation);
         }
         let snapshot = self.capacity_snapshot(pass)?;
         let job = self.jobs.get(job_index)?;
-        if !snapshot.backlog.is_full(self, job) {
-            return Some(PlacementLimit::OnePass);
+        if may_reserve && !snapshot.backlog.is_full(self, job) {
+            return Some(PlacementLimit::Reservation);
         }
         // What waits in queues soon uses the spare resources, unless it can't.
         let waited_ms = self.context.now.wall_ms.saturating_sub(job.ready_ms);
-        if waited_ms < MIN_WAIT_BESIDE_BACKLOG_MS {
+        if may_reserve && waited_ms < MIN_WAIT_BESIDE_BACKLOG_MS {
+            return None;
+        }
+        let claims = snapshot.claims.entry(job.team).or_insert_with(|| self.quota_claims(job.team));
+        let within_quota = self.tasks_within_quota(job_index, job, claims, MAX_PLACED_PER_PASS);
+        if within_quota == 0 {
+            self.note_blocked_by_quota(job_index, &snapshot.free);
             return None;
         }
-        let tasks = self.spare_tasks(job, MAX_PLACED_PER_PASS, &snapshot.free);
+        let tasks = self.spare_tasks(job, within_quota, &snapshot.free);
         (tasks > 0).then_some(PlacementLimit::Tasks(tasks))
     }
 
@@ -121,8 +140,22 @@
             return Snapshot::TooEarly;
         }
         self.last_capacity_snapshot_ms = now_ms;
+        self.teams.iter_mut().for_each(|usage| usage.blocked_job = None);
         let free = self.free_capacity();
-        Snapshot::Taken(CapacitySnapshot { backlog: self.class_backlog(), free })
+        let backlog = self.class_backlog();
+        Snapshot::Taken(CapacitySnapshot { backlog, free, claims: BTreeMap::new() })
+    }
+
+    /// Notes a job that a machine has spare resources for and only its team's limit keeps waiting,
+    /// unless one of an earlier rank is noted.
+    fn note_blocked_by_quota(&mut self, job_index: JobIndex, free: &FreeCapacity) {
+        let Some(job) = self.jobs.get(job_index) else { return };
+        let claim = QuotaClaim { rank: JobRank::of(job_index, job), resources: job.resources() };
+        let team = job.team;
+        let is_first = self.teams[team].blocked_job.is_none_or(|noted| claim.rank < noted.rank);
+        if is_first && self.spare_tasks(job, 1, free) > 0 {
+            self.teams[team].blocked_job = Some(claim);
+        }
     }
 
     /// Returns for how many unplaced tasks of a job, at most `max_tasks`, machines have spare
--- a/crates/core/src/placement/placer.rs
+++ b/crates/core/src/placement/placer.rs
@@ -138,13 +138,13 @@
         self.context.config.operator.probes.min((max_probes as usize).max(1))
     }
 
-    /// Places as many of a job's tasks as the team's quota and the limits of one pass allow. Returns whether any task was placed.
+    /// Places as many of a job's tasks as the reservation against the team's quota and the limits of
+    /// one pass allow. Returns whether any task was placed.
     pub(crate) fn place_job(&mut self, job_index: JobIndex) -> bool {
-        self.place_tasks(job_index, PlacementLimit::OnePass) > 0
+        self.place_tasks(job_index, PlacementLimit::Reservation) > 0
     }
 
-    /// Places as many of a job's tasks as `limit` and the team's quota allow. Returns how many were
-    /// placed.
+    /// Places as many of a job's tasks as `limit` allows. Returns how many were placed.
     fn place_tasks(&mut self, job_index: JobIndex, limit: PlacementLimit) -> u32 {
         let Some(job) = self.jobs.get(job_index) else { return 0 };
         if job.spec.kind == JobKind::Gang {
@@ -152,11 +152,13 @@
         }
         let (team, need, spec) = (job.team, job.resources(), job.spec.clone());
         let may_open_chunk = job.may_open_chunk();
-        let may_place = |placed: u32| match limit {
-            PlacementLimit::OnePass => placed < MAX_PLACED_PER_PASS,
+        let is_within = |controller: &Controller, placed: u32| match limit {
+            PlacementLimit::Reservation => {
+                placed < MAX_PLACED_PER_PASS && controller.within_reservation(team, &need)
+            }
             PlacementLimit::Tasks(max_tasks) => placed < max_tasks,
         };
-        if !may_open_chunk || !self.within_quota(team, &need) {
+        if !may_open_chunk || !is_within(self, 0) {
             return 0;
         }
         let mut candidates = self.candidates_for(job_index);
@@ -169,7 +171,7 @@
             self.choose_job_zone(job_index, &candidates);
         }
         let mut placed = 0;
-        while may_place(placed) && self.within_quota(team, &need) {
+        while is_within(self, placed) {
             let Some(task) = self.next_task_to_place(job_index) else { break };
             let key = TaskKey { job: job_index, task };
             let unplaced = self.jobs.task(key).map(|t| t.state) == Some(TaskState::Unplaced);
--- a/crates/core/src/placement/preemption.rs
+++ b/crates/core/src/placement/preemption.rs
@@ -28,6 +28,13 @@
     resources: Resources,
 }
 
+/// What a pass has assigned to more urgent tasks.
+#[derive(Default)]
+struct Assigned {
+    by_machine: BTreeMap<MachineIndex, Resources>,
+    by_team: BTreeMap<usize, Resources>,
+}
+
 /// Tasks to preempt on a machine so that a waiting task fits there.
 struct PreemptionPlan {
     cost: f64,
@@ -39,8 +46,7 @@
     /// Frees capacity for waiting tasks of higher priority by stopping tasks of lower priority, at
     /// the least cost.
     pub(crate) fn preempt(&mut self) {
-        // Capacity that is assigned to more urgent tasks of this pass, by machine.
-        let mut assigned: BTreeMap<MachineIndex, Resources> = BTreeMap::new();
+        let mut assigned = Assigned::default();
         for (priority, key) in self.preemptors() {
             self.preempt_for(key, priority, &mut assigned);
         }
@@ -90,21 +96,22 @@
         preemptors
     }
 
-    fn preempt_for(
-        &mut self,
-        key: TaskKey,
-        priority: Priority,
-        assigned: &mut BTreeMap<MachineIndex, Resources>,
-    ) {
+    fn preempt_for(&mut self, key: TaskKey, priority: Priority, assigned: &mut Assigned) {
         let Some(job) = self.jobs.get(key.job) else { return };
         let Some(task) = job.task(key.task) else { return };
-        let need = job.resources();
+        let (need, team) = (job.resources(), job.team);
+        // More tasks can wait than the team's limit allows to start.
+        let mut with_assigned = need;
+        with_assigned.add(&assigned.by_team.get(&team).copied().unwrap_or_default(), 1.0);
+        if !self.may_start_within_quota(key.job, job, &with_assigned) {
+            return;
+        }
         let mut best: Option<PreemptionPlan> = None;
         for probe in &task.probes {
             if !self.may_preempt_on(job, key, task, priority, probe.machine) {
                 continue;
             }
-            let assigned_here = assigned.get(&probe.machine);
+            let assigned_here = assigned.by_machine.get(&probe.machine);
             let Some(plan) = self.plan_preemption(job, priority, probe.machine, assigned_here)
             else {
                 continue;
@@ -114,7 +121,8 @@
             }
         }
         let Some(plan) = best else { return };
-        assigned.entry(plan.machine).or_default().add(&need, 1.0);
+        assigned.by_machine.entry(plan.machine).or_default().add(&need, 1.0);
+        assigned.by_team.entry(team).or_default().add(&need, 1.0);
         for victim in plan.victims {
             // Production tasks don't wait until their victims have saved a checkpoint.
             let may_checkpoint = priority < Priority::Production;
--- a/crates/core/src/placement/reprobe.rs
+++ b/crates/core/src/placement/reprobe.rs
@@ -121,7 +121,7 @@
 
     /// Returns whether a waiting task needs no new probes: a probed machine on which the job has
     /// not failed has free capacity; or a probed machine may have free capacity later and no other
-    /// machine of `free_machines` has any, Also adds the task to the queues of its probed machines.
+    /// machine of `free_machines` has any, or the team's limit keeps the task waiting anyway. Also adds the task to the queues of its probed machines.
     fn is_well_placed(&mut self, key: TaskKey, free_machines: &[MachineIndex]) -> bool {
         // A probed machine may have become usable since the task began to wait.
         self.enqueue(key);
@@ -141,7 +141,9 @@
         }
         let is_not_probed =
             |other: &MachineIndex| !task.probes.iter().any(|probe| probe.machine == *other);
-        is_free || may_become_free && !free_machines.iter().any(is_not_probed)
+        let could_start = || self.may_start_within_quota(key.job, job, &need);
+        let has_better = || free_machines.iter().any(is_not_probed) && could_start();
+        is_free || may_become_free && !has_better()
     }
 
     /// Gives a waiting task new probes if candidates have spare resources, or if none of its
--- a/crates/core/tests/simulation/cluster.rs
+++ b/crates/core/tests/simulation/cluster.rs
@@ -15,7 +15,7 @@
 mod users;
 mod workers;
 
-pub use cloud::SECOND_MACHINE_TYPE;
+pub use cloud::{MACHINE_TYPE, SECOND_MACHINE_TYPE};
 pub use faults::{Milestone, RandomDelay, ReachedMilestone, UnansweredWrite, WriteFault};
 pub use network::{Endpoint, LinkFault};
 pub use state_service::{LateRefusal, StateLimits, ThrottledKey};
