--- a/crates/core/src/placement/demand_ratios.rs
+++ b/crates/core/src/placement/demand_ratios.rs
@@ -209,9 +209,9 @@
     }
 
     /// Returns whether a job does not get resources that are reserved for GPU tasks: it needs no
-    /// GPUs and is below production priority.
+    /// GPUs, is below production priority, and has not waited long.
     pub(crate) fn respects_gpu_reserve(&self, job: &Job) -> bool {
-        job.spec.gpus <= 0.0 && job.priority < Priority::Production
+        job.spec.gpus <= 0.0 && job.priority < Priority::Production && !self.may_use_reserved(job)
     }
 
     /// Counts the deadline objectives of the class of the job's effective deadline that the job can
--- a/crates/core/src/placement/dispatch.rs
+++ b/crates/core/src/placement/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::fleet::machines::Machine;
 use crate::ids::{MachineIndex, TaskKey};
 use crate::jobs::{Job, JobState, Task, TaskState};
-use crate::placement::queue::{pick, QueueOrder, QueuedProbe};
+use crate::placement::queue::{pick, QueueOrder, QueuedProbe, SlackCap};
 use crate::storage::records::TASKS_PER_CHUNK;
 
 /// The outcome of one scan of a machine's queue.
@@ -97,7 +97,10 @@
             keys.push(*key);
             probes.push(self.queued_probe(job, task));
         }
-        let slack_cap = self.context.config.operator.slack_cap;
+        let slack_cap = SlackCap {
+            times: self.context.config.operator.slack_cap,
+            holds_capacity: self.is_hold_period(),
+        };
         let order = self.queue_order(machine);
         let picked = pick(&probes, order, slack_cap, |at| fits(&keys[at]));
         let chosen = picked.as_ref().map(|picked| keys[picked.chosen]);
--- a/crates/core/src/placement/gangs.rs
+++ b/crates/core/src/placement/gangs.rs
@@ -174,19 +174,17 @@
         }
     }
 
-    /// Returns whether resources are held now for a gang for which too few are free. Once the gang
-    /// has waited a fraction of its class's longest wait ([`HOLD_AFTER_DIVISOR`]), they are
-    /// alternately held and released, each time for as long as a started gang waits for its
-    /// members: the resources that are free must not stay idle for ever because others are missing.
+    /// Returns whether resources are held now for a gang for which too few are free: once the gang
+    /// has waited a fraction of its class's longest wait ([`HOLD_AFTER_DIVISOR`]), in the periods in
+    /// which resources are held. The resources that are free must not stay idle for ever because
+    /// others are missing.
     fn may_hold_partially(&self, job_index: JobIndex) -> bool {
         let Some(job) = self.jobs.get(job_index) else { return false };
         let gang_ms = (self.context.config.platform.params.workers.gang_wait_s * 1000.0) as u64;
         let max_wait_s = self.wait_objective_s(&job.spec.class);
         let max_wait_ms = max_wait_s.map_or(gang_ms, |wait_s| (wait_s * 1000.0) as u64);
         let waited_ms = self.context.now.wall_ms.saturating_sub(job.ready_ms);
-        let hold_after_ms = max_wait_ms / HOLD_AFTER_DIVISOR;
-        waited_ms >= hold_after_ms
-            && ((waited_ms - hold_after_ms) / gang_ms.max(1)).is_multiple_of(2)
+        waited_ms >= max_wait_ms / HOLD_AFTER_DIVISOR && self.is_hold_period()
     }
 
     /// Places all tasks of a gang, or none of them.
--- a/crates/core/src/placement/queue.rs
+++ b/crates/core/src/placement/queue.rs
@@ -1,7 +1,8 @@
 //! The order of a machine's queue: which of its probes binds next.
 //!
 //! Invariant: in every queue order, a task is passed over by other tasks of the same priority and
-//! quota guarantee at most as many times as the slack cap allows.
+//! quota guarantee at most as many times as the slack cap allows, as long as capacity is held for
+//! tasks that don't fit ([`SlackCap::holds_capacity`]).
 
 use std::cmp::Ordering;
 
@@ -89,23 +90,34 @@
     pub passed: Vec<usize>,
 }
 
+/// The slack cap.
+#[derive(Clone, Copy, Debug)]
+pub struct SlackCap {
+    /// How many times a probe may be passed over.
+    pub times: u32,
+    /// Whether the machine's capacity is held for a probe that was passed over that many times and
+    /// does not fit; otherwise others get it.
+    pub holds_capacity: bool,
+}
+
 /// Picks the probe that binds next. `fits` returns whether the machine has resources for a probe
-/// now. No probe of the same class (priority and quota guarantee) or of a lower one may pass a
-/// probe that was passed over `cap` times: if that probe does not fit, they wait.
+/// now. While capacity is held, no probe of the same class (priority and quota guarantee) or of a
+/// lower one may pass a probe that was passed over as often as the cap allows: if that probe does
+/// not fit, they wait.
 pub fn pick(
     queue: &[QueuedProbe],
     order: QueueOrder,
-    cap: u32,
+    cap: SlackCap,
     mut fits: impl FnMut(usize) -> bool,
 ) -> Option<Pick> {
     let mut positions: Vec<usize> = (0..queue.len()).collect();
-    positions.sort_by(|a, b| queue[*a].compare(&queue[*b], order, cap));
+    positions.sort_by(|a, b| queue[*a].compare(&queue[*b], order, cap.times));
     for &position in &positions {
         if fits(position) {
             let passed = passed_by(queue, &positions, position);
             return Some(Pick { chosen: position, passed });
         }
-        if queue[position].times_passed_over >= cap {
+        if cap.holds_capacity && queue[position].times_passed_over >= cap.times {
             return None;
         }
     }
--- a/crates/core/tests/simulation/blocked_work.rs
+++ b/crates/core/tests/simulation/blocked_work.rs
@@ -10,6 +10,8 @@
 
 /// Time within which a job that fits a machine with free capacity has to run.
 const MAX_START_MS: u64 = 30_000;
+/// Time within which a job has to run that waits for no period in which capacity is released.
+const SOON_MS: u64 = 8_000;
 /// Number of machines of the cluster; half of them differ from the others.
 const MACHINES: usize = 6;
 
@@ -364,6 +366,37 @@
     }
 }
 
+/// Guards against a small job that waits for ever beside free capacity, which several gangs that
+/// can't start hold for themselves in turns.
+#[test]
+fn small_job_starts_beside_capacity_that_waiting_gangs_hold() {
+    for case in 0..6u64 {
+        let mut cluster = Cluster::activated(2, 0.0, 64_500 + case, 1_000);
+        let filler = |n: u32, zone: &str| {
+            let mut spec = job(&job_id(n), JobKind::Array, 1);
+            (spec.cpus, spec.zone) = (3.0, Some(zone.into()));
+            spec
+        };
+        cluster.task_duration_ms = [(job_id(1), 600_000), (job_id(2), 600_000)].into();
+        cluster.submit_until_accepted(&filler(1, "a"));
+        cluster.submit_until_accepted(&filler(2, "b"));
+        cluster.run_for_ms(5_000);
+        // Only one of the gang's two tasks fits: 5 CPUs are free on each machine.
+        for n in 3..6 {
+            let mut gang = job(&job_id(n), JobKind::Gang, 3);
+            gang.cpus = 5.0;
+            cluster.submit_until_accepted(&gang);
+            cluster.run_for_ms(11_000 + case * 900);
+        }
+        cluster.run_for_ms(10_000);
+        let mut small = small_job(6);
+        small.cpus = 4.0;
+        cluster.submit_until_accepted(&small);
+        cluster.run_until_done(&small.id, 60_000);
+        cluster.assert_no_violations();
+    }
+}
+
 /// Guards against resources that are reserved, while GPUs are scarce, for GPU tasks that may not run
 /// on the machine.
 #[test]
@@ -380,7 +413,7 @@
         let mut large = small_job(2);
         large.cpus = 6.0;
         cluster.submit_until_accepted(&large);
-        cluster.run_until_done(&large.id, MAX_START_MS);
+        cluster.run_until_done(&large.id, SOON_MS);
         cluster.assert_no_violations();
     }
 }
--- a/crates/core/tests/simulation/cluster.rs
+++ b/crates/core/tests/simulation/cluster.rs
@@ -182,6 +182,8 @@
     must_refuse: BTreeMap<String, u16>,
     /// Users query all controllers and submit again within milliseconds of a change of a job.
     pub query_on_change: bool,
+    /// Users query all jobs every few seconds while a test waits for jobs to start.
+    pub polls_jobs: bool,
     /// Controllers that shed load: they reject user queries and submissions.
     pub shedding_controllers: BTreeSet<usize>,
     /// Share of jobs that are aborted at the moment when their last task completes.
@@ -262,6 +264,7 @@
             starts_after_abort: Vec::new(),
             must_refuse: BTreeMap::new(),
             query_on_change: false,
+            polls_jobs: false,
             shedding_controllers: BTreeSet::new(),
             abort_at_completion: 0.0,
             milestones: Vec::new(),
--- a/crates/core/tests/simulation/cluster/invariants.rs
+++ b/crates/core/tests/simulation/cluster/invariants.rs
@@ -22,6 +22,8 @@
 /// Longest time that ready controllers may take, after all faults have ended, to answer queries
 /// of an accepted job.
 const MAX_ANSWER_MS: u64 = 75_000;
+/// Interval at which users query their jobs.
+const QUERY_INTERVAL_MS: u64 = 5_000;
 /// Prefix of the keys of mailbox records.
 const MAILBOX_PREFIX: &str = "view/post/";
 /// Tolerance for rounding errors in sums of resources.
@@ -374,7 +376,15 @@
     /// waits.
     pub fn assert_no_job_waits_beside_free_capacity(&mut self) {
         let mut waiting_since: BTreeMap<String, u64> = BTreeMap::new();
+        let mut next_query_ms = self.now;
         loop {
+            if self.polls_jobs && self.now >= next_query_ms {
+                next_query_ms = self.now + QUERY_INTERVAL_MS;
+                let known: Vec<String> = self.observed_status.keys().cloned().collect();
+                for (node, id) in (0..self.nodes.len()).cycle().zip(known) {
+                    self.query(node, &id);
+                }
+            }
             let waiting = self.jobs_waiting_despite_free_capacity();
             waiting_since.retain(|id, _| waiting.contains(id));
             if waiting.is_empty() {
@@ -384,9 +394,12 @@
                 let began = *waiting_since.entry(id.clone()).or_insert(self.now);
                 assert!(
                     self.now < began + MAX_WAIT_MS,
-                    "seed {}: {id} has waited for {} ms although there is free capacity",
+                    "seed {}: {id} has waited for {} ms although there is free capacity: {:?}, \
+                     live {:?}",
                     self.seed,
-                    self.now - began
+                    self.now - began,
+                    self.jobs[&id],
+                    self.live_tasks(&id)
                 );
             }
             self.run_for_ms(500);
--- a/crates/core/tests/simulation/fault_search.rs
+++ b/crates/core/tests/simulation/fault_search.rs
@@ -671,8 +671,12 @@
     remaining
 }
 
-/// Simulates runs in parallel and returns a description of each that violates an invariant.
-fn search(seeds: std::ops::Range<u64>) -> Vec<String> {
+/// Simulates a run with each seed, in parallel. Returns what `simulate` describes of the runs that
+/// violate an invariant.
+pub fn violations_in(
+    seeds: std::ops::Range<u64>,
+    simulate: impl Fn(u64) -> Option<String> + Sync,
+) -> Vec<String> {
     let next = std::sync::atomic::AtomicU64::new(seeds.start);
     let found = std::sync::Mutex::new(Vec::new());
     let threads = std::thread::available_parallelism().map_or(2, |n| n.get());
@@ -683,13 +687,7 @@
                 if seed >= seeds.end {
                     return;
                 }
-                let faults = draw_faults(&mut SmallRng::seed_from_u64(seed));
-                let violations = violations_of(seed, &faults);
-                if !violations.is_empty() {
-                    let minimal = minimal_faults(seed, &faults);
-                    let first_violations: Vec<String> = violations.into_iter().take(3).collect();
-                    let text =
-                        format!("seed {seed}: {first_violations:?}\n  with faults {minimal:?}");
+                if let Some(text) = simulate(seed) {
                     println!("{text}");
                     found.lock().unwrap().push(text);
                 }
@@ -699,6 +697,26 @@
     found.into_inner().unwrap()
 }
 
+/// Draws and simulates a run; describes it if it violates an invariant.
+fn search(seed: u64) -> Option<String> {
+    let faults = draw_faults(&mut SmallRng::seed_from_u64(seed));
+    let violations = violations_of(seed, &faults);
+    if violations.is_empty() {
+        return None;
+    }
+    let minimal = minimal_faults(seed, &faults);
+    let first_violations: Vec<String> = violations.into_iter().take(3).collect();
+    Some(format!("seed {seed}: {first_violations:?}\n  with faults {minimal:?}"))
+}
+
+/// Returns the seeds of `SEARCH_SEEDS`, or `default` if it is not set.
+pub fn search_seeds(default: std::ops::Range<u64>) -> std::ops::Range<u64> {
+    match std::env::var("SEARCH_SEEDS") {
+        Ok(text) => parse_seeds(&text).unwrap_or_else(|error| panic!("{error}")),
+        Err(_) => default,
+    }
+}
+
 /// Parses a range of seeds `from..to`, whose end is exclusive.
 fn parse_seeds(text: &str) -> Result<std::ops::Range<u64>, String> {
     let format_error =
@@ -740,10 +758,6 @@
 /// Runs the search with a fixed range of seeds, or with those of `SEARCH_SEEDS`.
 #[test]
 fn invariants_hold_under_random_fault_combinations() {
-    let seeds = match std::env::var("SEARCH_SEEDS") {
-        Ok(text) => parse_seeds(&text).unwrap_or_else(|error| panic!("{error}")),
-        Err(_) => 200..300,
-    };
-    let found = search(seeds);
+    let found = violations_in(search_seeds(200..300), search);
     assert!(found.is_empty(), "{} runs violated an invariant:\n{}", found.len(), found.join("\n"));
 }
--- a/crates/core/tests/simulation/main.rs
+++ b/crates/core/tests/simulation/main.rs
@@ -9,6 +9,7 @@
 mod abort_confirmations;
 mod aborts;
 mod blocked_work;
+mod blocked_work_search;
 mod cluster;
 mod dependencies;
 mod duplicate_commands;
