--- a/crates/core/src/fleet/provisioning/demand.rs
+++ b/crates/core/src/fleet/provisioning/demand.rs
@@ -140,8 +140,8 @@
         (cpus_left / job.spec.cpus.max(MIN_TASK_CPUS)).max(0.0) as u32
     }
 
-    /// Returns whether a task of a job can get capacity now: a machine has some, or an offer that may
-    /// run it has not been refused recently.
+    /// Returns whether a task of a job can get capacity now: a machine has some, or the last request
+    /// of an offer that may run it was not refused.
     fn is_obtainable(&self, job: &Job, pool: &CapacityPool) -> bool {
         let eligible = |group: &MachineGroup| self.is_eligible(&job.spec, group);
         self.has_available_offer(&job.spec) || pool.count_fitting(&job.resources(), eligible) > 0
--- a/crates/core/src/fleet/provisioning/mod.rs
+++ b/crates/core/src/fleet/provisioning/mod.rs
@@ -73,6 +73,8 @@
     expected: BTreeMap<String, PendingProvision>,
     /// Offers that the cloud refused, and the time before which they are not requested again.
     refused_until_ms: BTreeMap<Offer, u64>,
+    /// Offers whose last request the cloud refused, whole or in part.
+    last_refused: BTreeSet<Offer>,
     /// Number of provisioning requests made in this epoch, which makes their identifiers unique.
     requests_made: u64,
     requests_in_flight: usize,
@@ -96,6 +98,7 @@
             list_in_flight: false,
             expected: BTreeMap::new(),
             refused_until_ms: BTreeMap::new(),
+            last_refused: BTreeSet::new(),
             requests_made: 0,
             requests_in_flight: 0,
             requested: BTreeMap::new(),
--- a/crates/core/src/fleet/provisioning/scale_out.rs
+++ b/crates/core/src/fleet/provisioning/scale_out.rs
@@ -132,14 +132,16 @@
             .collect()
     }
 
-    /// Returns whether tasks of a job may run on some offer that has not been refused recently.
+    /// Returns whether tasks of a job may run on some offer whose last request was not refused.
     pub(super) fn has_available_offer(&self, spec: &JobSpec) -> bool {
-        if self.provisioner.refused_until_ms.is_empty() {
+        if self.provisioner.last_refused.is_empty() {
             return true;
         }
         let has_offer = |machine_type: &MachineType| {
-            self.offers_in_zones(machine_type)
-                .any(|offer| self.is_available(&offer, machine_type, spec))
+            self.offers_in_zones(machine_type).any(|offer| {
+                !self.provisioner.last_refused.contains(&offer)
+                    && self.may_run_on(&offer, machine_type, spec)
+            })
         };
         self.machine_types.iter().any(has_offer)
     }
@@ -158,9 +160,14 @@
 
     /// Returns whether tasks of a job may run on an offer that has not been refused recently.
     fn is_available(&self, offer: &Offer, machine_type: &MachineType, spec: &JobSpec) -> bool {
+        !self.provisioner.refused_until_ms.contains_key(offer)
+            && self.may_run_on(offer, machine_type, spec)
+    }
+
+    /// Returns whether tasks of a job may run on an offer that is sold.
+    fn may_run_on(&self, offer: &Offer, machine_type: &MachineType, spec: &JobSpec) -> bool {
         let sold_as_spot = machine_type.spot_price > 0.0;
         self.allows(spec, &offer.kind, Some(offer.zone), offer.spot)
-            && !self.provisioner.refused_until_ms.contains_key(offer)
             && (!offer.spot || sold_as_spot)
     }
 
@@ -212,8 +219,11 @@
             provision = %provision_id, machines = ?provisioned.machines,
             "machines provisioned"
         );
-        if (provisioned.machines.len() as u32) < count {
-            self.pause_offer(offer.clone());
+        match (provisioned.machines.len() as u32) < count {
+            true => self.pause_offer(offer.clone()),
+            false => {
+                self.provisioner.last_refused.remove(&offer);
+            }
         }
         self.expect_machines(provisioned.machines, &offer);
     }
@@ -221,7 +231,8 @@
     /// Excludes a refused offer from further requests for half a boot time of its machine type.
     fn pause_offer(&mut self, offer: Offer) {
         let until_ms = self.context.now.steady_ms + self.boot_ms(&offer.kind) / 2;
-        self.provisioner.refused_until_ms.insert(offer, until_ms);
+        self.provisioner.refused_until_ms.insert(offer.clone(), until_ms);
+        self.provisioner.last_refused.insert(offer);
     }
 
     fn expect_machines(&mut self, names: Vec<String>, offer: &Offer) {
--- a/crates/core/tests/simulation/blocked_work.rs
+++ b/crates/core/tests/simulation/blocked_work.rs
@@ -447,3 +447,22 @@
     cluster.run_until_done(&small.id, MAX_START_MS);
     cluster.assert_no_violations();
 }
+
+/// Guards against provisioning that keeps a team's whole limit for a job for which the cloud has no
+/// machines, so that the team gets none for its other jobs.
+#[test]
+fn machines_are_provisioned_beside_a_job_that_can_get_none() {
+    const LIMIT: f64 = 16.0;
+    for case in 0..6u64 {
+        let mut cluster = Cluster::activated(0, LIMIT, 64_800 + case, 1_000);
+        cluster.scale_out_disabled = false;
+        cluster.zones_without_machines = ["b".to_string()].into();
+        let mut blocked = job(&job_id(1), JobKind::Array, 4);
+        (blocked.zone, blocked.priority) = (Some("b".into()), Priority::High);
+        cluster.submit_until_accepted(&blocked);
+        cluster.run_for_ms(2_000 + case * 500);
+        cluster.submit_until_accepted(&job(&job_id(2), JobKind::Array, 2));
+        cluster.run_until_done(&job_id(2), MAX_START_MS);
+        cluster.assert_no_violations();
+    }
+}
--- a/crates/core/tests/simulation/cluster.rs
+++ b/crates/core/tests/simulation/cluster.rs
@@ -104,6 +104,8 @@
     next_machine: u32,
     /// The cloud rejects provisioning requests with 503.
     pub scale_out_disabled: bool,
+    /// Zones in which the cloud rejects provisioning requests with 503.
+    pub zones_without_machines: BTreeSet<String>,
     /// The cloud rejects the return of machines with 503.
     pub scale_in_disabled: bool,
     /// Machines that the cloud's machine list omits.
@@ -226,6 +228,7 @@
             next_request: 1,
             next_machine: 0,
             scale_out_disabled: true,
+            zones_without_machines: BTreeSet::new(),
             scale_in_disabled: false,
             unlisted_machines: BTreeSet::new(),
             boot_ms: 3_000..=3_000,
--- a/crates/core/tests/simulation/cluster/cloud.rs
+++ b/crates/core/tests/simulation/cluster/cloud.rs
@@ -87,7 +87,7 @@
     /// Provisions machines; a repeated idempotency key returns the machines of the first request.
     fn provision_machines(&mut self, call: &Call) -> Response {
         let request: ProvisionRequest = from_cbor(&call.body).unwrap();
-        if self.scale_out_disabled {
+        if self.scale_out_disabled || self.zones_without_machines.contains(&request.zone) {
             return Response::new(503, Vec::new());
         }
         if let Some(known) = self.provision_answers.get(&request.provision_id) {
