--- a/crates/core/src/placement/placement_pass.rs
+++ b/crates/core/src/placement/placement_pass.rs
@@ -83,8 +83,9 @@
         resources.add(&job.resources(), f64::from(tasks));
         self.backlog.add_placed(controller, job, resources.cpus);
         self.free.take(controller, job, tasks, |zone| controller.is_open_zone(job, zone));
-        let claim = QuotaClaim { rank: JobRank::of(job_index, job), resources };
-        self.claims.entry(job.team).or_default().push(claim);
+        if let Some(claims) = self.claims.get_mut(&job.team) {
+            claims.push(QuotaClaim { rank: JobRank::of(job_index, job), resources });
+        }
     }
 }
 
